--- /dev/null
+++ b/src/cloud/mod.rs
@@ -0,0 +1,120 @@
+//! The cloud: the calls there are, and the client that carries them out within its limit.
+
+use crate::constants as k;
+use crate::http::{Answer, CallError, HttpClient};
+use crate::settings::Settings;
+use crate::tokens::TokenBucket;
+use crate::wire::cloud as w;
+use crate::wire::{decode, encode};
+use hyper::Method;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use tokio::time::Instant;
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum CloudCall {
+    Types,
+    Rent(w::Rent),
+    Return(Vec<String>),
+    List { after: Option<String> },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum CloudReply {
+    Types(w::MachineTypes),
+    Rented(Vec<String>),
+    Returned,
+    Listed(w::MachineList),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum CloudError {
+    /// None of this type, zone and kind to be had.
+    #[error("no capacity")]
+    NoCapacity,
+    /// Not executed, or not known to be: the same request may be sent again.
+    #[error("{0}")]
+    Failed(String),
+}
+
+pub struct CloudClient {
+    http: HttpClient,
+    addr: SocketAddr,
+    calls: Mutex<TokenBucket>,
+    started: Instant,
+}
+
+impl CloudClient {
+    pub fn new(http: HttpClient, settings: &Settings) -> Self {
+        CloudClient {
+            http,
+            addr: settings.services.cloud,
+            calls: Mutex::new(TokenBucket::new(settings.cluster.cloud.rps)),
+            started: Instant::now(),
+        }
+    }
+
+    pub async fn call(&self, call: &CloudCall) -> Result<CloudReply, CloudError> {
+        loop {
+            let wait = {
+                let mut bucket = self.calls.lock().unwrap_or_else(|e| e.into_inner());
+                bucket.take(1.0, 0.0, self.started.elapsed())
+            };
+            match wait {
+                None => break,
+                Some(wait) => tokio::time::sleep(wait).await,
+            }
+        }
+        let (method, path, body) = match call {
+            CloudCall::Types => (Method::GET, "/flavors".into(), None),
+            CloudCall::Rent(rent) => (Method::POST, "/machines".into(), Some(encode(rent))),
+            CloudCall::Return(machines) => (
+                Method::POST,
+                "/machines/return".into(),
+                Some(encode(&w::Machines {
+                    machines: machines.clone(),
+                })),
+            ),
+            CloudCall::List { after } => {
+                let after = after
+                    .as_ref()
+                    .map_or(String::new(), |a| format!("after={a}&"));
+                let path = format!("/machines?{after}page={}", k::MACHINE_PAGE);
+                (Method::GET, path, None)
+            }
+        };
+        let answer = self
+            .http
+            .call(method, self.addr, &path, body, k::CLOUD_TIMEOUT)
+            .await
+            .map_err(|e: CallError| CloudError::Failed(e.to_string()))?;
+        read(call, &answer)
+    }
+}
+
+fn read(call: &CloudCall, answer: &Answer) -> Result<CloudReply, CloudError> {
+    fn body<T: serde::de::DeserializeOwned>(answer: &Answer) -> Result<T, CloudError> {
+        decode(&answer.body).map_err(|e| CloudError::Failed(format!("unreadable answer: {e}")))
+    }
+    if answer.status != 200 {
+        #[derive(serde::Deserialize)]
+        struct Reason {
+            error: String,
+        }
+        let reason = decode::<Reason>(&answer.body).map_or(String::new(), |r| r.error);
+        // The protocol tells a refusal from an outage by this text alone.
+        if answer.status == 503 && reason == "no capacity" {
+            return Err(CloudError::NoCapacity);
+        }
+        return Err(CloudError::Failed(format!(
+            "status {} {reason}",
+            answer.status
+        )));
+    }
+    match call {
+        CloudCall::Types => Ok(CloudReply::Types(body(answer)?)),
+        CloudCall::Rent(_) => Ok(CloudReply::Rented(body::<w::Machines>(answer)?.machines)),
+        CloudCall::Return(_) => Ok(CloudReply::Returned),
+        CloudCall::List { .. } => Ok(CloudReply::Listed(body(answer)?)),
+    }
+}
--- /dev/null
+++ b/src/constants.rs
@@ -0,0 +1,142 @@
+//! Every constant of the service, with its unit and the reason for its value.
+//!
+//! What depends on a deployment is not here: it is derived from the settings, in
+//! [`crate::settings::Timing`].
+
+use std::time::Duration;
+
+/// Version of the frames between our own processes. Raised when their layout changes; a peer
+/// of another version is disconnected.
+pub const PEER_VERSION: u8 = 1;
+/// Bytes of one peer frame: an announcement takes a few dozen; the rest is room to grow.
+pub const PEER_FRAME_MAX: usize = 4096;
+/// Between two announcements to the same peer: well below any lease, so that a superseded
+/// leader gives way within a second or so, and cheap (two small frames a second).
+pub const PEER_EVERY: Duration = Duration::from_millis(1000);
+/// For connecting to a peer or writing one frame: peers are at most a few ms apart; a cut one
+/// is simply tried again at the next announcement.
+pub const PEER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Inbound peer connections at once: two peers, with room for ones not yet noticed as dead.
+pub const PEER_CONNECTIONS: usize = 16;
+
+/// Bytes of a request or response body, by the protocol.
+pub const BODY_MAX: usize = 64 * 1024;
+/// Bytes of an answer of the state service or cloud: lists reach 512 KiB, and a watch has no
+/// stated limit, so a few times that; more would endanger the process's memory.
+pub const ANSWER_MAX: usize = 4 * 1024 * 1024;
+/// Bytes of a state-service listing page come to 512 KiB at most; this many items keep pages
+/// small enough for the process's memory.
+pub const LIST_PAGE: u64 = 200;
+/// Machines a page of the cloud's list: the protocol's most.
+pub const MACHINE_PAGE: u64 = 500;
+
+/// Commands waiting for the engine. Each worker has one report in flight, so this is far more
+/// than a fleet's worth; beyond it requests are refused with 503.
+pub const ENGINE_QUEUE: usize = 1024;
+/// Commands taken in one batch, so that a flood cannot hold up time-driven work.
+pub const ENGINE_BATCH: usize = 128;
+/// The engine's heartbeat when nothing happens: bounds how late a time-out is noticed, and
+/// costs next to nothing.
+pub const TICK: Duration = Duration::from_millis(200);
+
+/// A leader's lease in the state service, ms. Short, so that a crashed leader is replaced in a
+/// few seconds; long enough for several renewals, each of which may take a few hundred ms.
+pub const LEASE_TTL_MS: u64 = 4000;
+/// Between renewals, ms: three more chances before the lease ends.
+pub const LEASE_RENEW_MS: u64 = 1000;
+/// How long a watch may stay open without a change, ms. The send time of an answered watch is
+/// what the leader's knowledge of cancellations counts from, so it must be short.
+pub const WATCH_MS: u64 = 1000;
+/// Steady clocks drift by up to 0.05%; counted double, for two clocks, in parts per million.
+pub const DRIFT_PPM: u64 = 1000;
+/// Allowance for messages and slow turns of our own process, in every safety margin, ms.
+pub const SAFETY_MARGIN_MS: u64 = 2000;
+/// First and longest pause after a failed call to the state service, ms.
+pub const RETRY_FIRST_MS: u64 = 150;
+pub const RETRY_MOST_MS: u64 = 2000;
+
+/// Deadline of one call to the state service: answers take 10 ms, at times a few hundred.
+pub const STORE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Beyond a watch's own waiting time.
+pub const WATCH_SLACK: Duration = Duration::from_millis(2000);
+/// Deadline of one call to the cloud.
+pub const CLOUD_TIMEOUT: Duration = Duration::from_millis(4000);
+/// Deadline of orders sent directly to a worker.
+pub const WORKER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// To set up a connection.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Idle connections kept to one address, and for how long: enough to avoid set-up cost, few
+/// enough for the limit on sockets.
+pub const POOL_IDLE: usize = 8;
+pub const POOL_IDLE_FOR: Duration = Duration::from_secs(20);
+/// Calls at once to the state service on behalf of users: past it users get 503 at once.
+pub const USER_CALLS: usize = 64;
+/// Orders sent directly to workers at once.
+pub const WORKER_CALLS: usize = 32;
+/// How long a user's request may wait for the state service before it is answered 503: below
+/// the 2 s that a polling user waits.
+pub const USER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// What a user is told to wait after a 503, s.
+pub const RETRY_AFTER_S: u64 = 1;
+/// Final job states remembered by a node, so that repeated polls need no read.
+pub const FINAL_CACHE: usize = 2000;
+/// Share of the state service's published rates that one node allows itself: the leader does
+/// most of the work, and three nodes share the limits.
+pub const RATE_SHARE: f64 = 0.6;
+/// Share kept back for lease renewals and leader's work when users flood a node.
+pub const RATE_RESERVE: f64 = 0.25;
+
+/// Between reading the machine types again (spot prices move), ms.
+pub const TYPES_EVERY_MS: u64 = 60_000;
+/// Between machine lists, ms: the list lags by seconds anyway.
+pub const LIST_EVERY_MS: u64 = 6000;
+/// Machines one request may rent, and one return may name.
+pub const RENT_MOST: u64 = 50;
+pub const RETURN_MOST: usize = 100;
+/// A machine that is not up after this many times its nominal boot time is returned: usual
+/// boots take up to 1.5 times, a few several times as long, and some never come up.
+pub const BOOT_PATIENCE: f64 = 3.0;
+/// And never sooner than this, ms.
+pub const BOOT_PATIENCE_MIN_MS: u64 = 45_000;
+/// After a refused rental of a type, zone and kind, ms before it is asked for again; doubled
+/// at each further refusal up to the most.
+pub const REFUSED_FIRST_MS: u64 = 5_000;
+pub const REFUSED_MOST_MS: u64 = 40_000;
+/// The cloud charges a deleted machine at least this long, ms: returning it sooner saves
+/// nothing.
+pub const MIN_CHARGE_MS: u64 = 60_000;
+
+/// A start that was sent and is missing from the next report is sent again this often before
+/// its round is taken to be stalled.
+pub const START_RESENDS: u32 = 3;
+/// A machine on which tasks of this many jobs failed, with no completion between, is put
+/// aside: one job alone may be at fault itself.
+pub const SICK_AFTER: usize = 2;
+/// After a task's failure, its job waits this long before its next start, ms, doubling to the
+/// most: a job submitted with a mistake fails everywhere and must not eat the fleet.
+pub const FAILED_FIRST_MS: u64 = 1_000;
+pub const FAILED_MOST_MS: u64 = 60_000;
+/// Returned machines remembered, so that late reports and lagging lists do not bring them back.
+pub const GONE_REMEMBERED: usize = 4096;
+/// Tasks a record of finished tasks covers: as hexadecimal text 2 KiB, far below the least
+/// sensible value limit.
+pub const DONE_CHUNK: u32 = 8192;
+/// Tasks one round may start: keeps a round's record and its undo short.
+pub const ROUND_STARTS: usize = 96;
+/// Unplaced tasks of one job that are counted: more than one rental could ever serve.
+pub const UNPLACED_MOST: u32 = 400;
+/// Between two placing passes, ms: submissions of a burst share a round.
+pub const PLACE_EVERY_MS: u64 = 100;
+/// Between two writes of partial progress of arrays, ms; ends of jobs do not wait.
+pub const ENDS_EVERY_MS: u64 = 500;
+/// Between two passes over open rounds and over the fleet, ms.
+pub const UPKEEP_EVERY_MS: u64 = 1000;
+/// Bits of an attempt number that count rounds within a term: a million rounds a term, and
+/// terms up to 2^44.
+pub const ROUND_BITS: u32 = 20;
+/// JSON bytes that one start takes in a round's record, at most: two ids, a number, marks.
+pub const START_BYTES: usize = 64;
+/// Sockets a machine allows if the settings do not say: a common limit of open files.
+pub const DEFAULT_CONNECTIONS: usize = 1000;
+/// Connections accepted on `front` however small the machine: workers and probes need some.
+pub const FRONT_CONNECTIONS_MIN: usize = 64;
--- /dev/null
+++ b/src/engine/hiring.rs
@@ -0,0 +1,346 @@
+//! Renting and returning machines.
+
+use super::{Engine, Op, Retry, Role};
+use crate::cloud::{CloudCall, CloudError, CloudReply};
+use crate::constants as k;
+use crate::fleet::{self, Waiting};
+use crate::model::{Machine, MachineId, MachinePhase, Ms, TaskId};
+use crate::placement::Unplaced;
+use crate::wire::cloud::{MachineState, Rent};
+use std::collections::{BTreeMap, BTreeSet};
+
+pub(super) use crate::fleet::Offer;
+
+#[derive(Debug)]
+pub(super) struct Hiring {
+    demand: Vec<Unplaced>,
+    /// Offers refused, until when, and for how long the next time.
+    refused: BTreeMap<Offer, (Ms, u64)>,
+    /// Names requests, together with the term.
+    requests: u64,
+    renting: usize,
+    hire_at: Ms,
+    list: Retry,
+    listed: bool,
+    list_after: Option<String>,
+    returns: Retry,
+    upkeep_at: Ms,
+}
+
+impl Hiring {
+    pub fn new(now: Ms) -> Self {
+        Hiring {
+            demand: Vec::new(),
+            refused: BTreeMap::new(),
+            requests: 0,
+            renting: 0,
+            hire_at: now,
+            list: Retry::default(),
+            listed: false,
+            list_after: None,
+            returns: Retry::default(),
+            upkeep_at: now,
+        }
+    }
+}
+
+impl Engine {
+    pub(super) fn set_demand(&mut self, unplaced: Vec<Unplaced>) {
+        if let Some(leader) = self.leader_mut() {
+            leader.hiring.demand = unplaced;
+        }
+    }
+
+    pub(super) fn hire_when_due(&mut self) {
+        let now = self.now;
+        if !self.confident() {
+            return;
+        }
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if leader.hiring.list.due(now) {
+            leader.hiring.list.busy = true;
+            let after = leader.hiring.list_after.clone();
+            self.cloud(Op::Machines, CloudCall::List { after });
+        }
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        // Until the first list nobody knows what is rented already; demand must not double it.
+        let idle = leader.hiring.renting > 0 || leader.hiring.demand.is_empty();
+        if idle || !leader.hiring.listed || now < leader.hiring.hire_at {
+            return;
+        }
+        leader.hiring.hire_at = now + k::UPKEEP_EVERY_MS;
+        for (offer, count) in self.wanted() {
+            let term = self.leader().map_or(0, |l| l.term);
+            let Some(hiring) = self.leader_mut().map(|l| &mut l.hiring) else {
+                return;
+            };
+            hiring.requests += 1;
+            hiring.renting += 1;
+            let count = count.min(k::RENT_MOST);
+            tracing::info!(
+                machine_type = %offer.machine_type, zone = %offer.zone, spot = offer.spot, count, "renting"
+            );
+            // Unique by the term and a count: never used before, by whatever node.
+            let rent = Rent {
+                request: format!("t{term}-{}", hiring.requests),
+                machine_type: offer.machine_type.to_string(),
+                zone: offer.zone.to_string(),
+                spot: offer.spot,
+                count,
+            };
+            self.cloud(Op::Rent(offer), CloudCall::Rent(rent));
+        }
+    }
+
+    fn wanted(&self) -> BTreeMap<Offer, u64> {
+        let (Some(leader), Some(types)) = (self.leader(), &self.types) else {
+            return BTreeMap::new();
+        };
+        let now = self.now;
+        let refused: BTreeSet<Offer> = leader
+            .hiring
+            .refused
+            .iter()
+            .filter(|(_, (until, _))| now < *until)
+            .map(|(offer, _)| offer.clone())
+            .collect();
+        let candidates = self.candidates();
+        let waiting: Vec<Waiting<'_>> = leader
+            .hiring
+            .demand
+            .iter()
+            .filter_map(|unplaced| {
+                let candidate = candidates.iter().find(|c| *c.id == unplaced.job)?;
+                Some(Waiting {
+                    job: candidate.job,
+                    tasks: unplaced.tasks,
+                    zones: candidate.zones.clone(),
+                })
+            })
+            .collect();
+        let slots = self.slots(|m| self.is_expected(m));
+        let offers = fleet::offers(types, &refused, self.settings.operator.spot);
+        let most = match self.settings.operator.most_machines {
+            0 => u64::MAX,
+            most => most.saturating_sub(leader.machines.len() as u64),
+        };
+        fleet::wanted(&waiting, slots, types, &offers, most)
+    }
+
+    /// Whether a machine takes tasks or soon will. One that is overdue is not counted on.
+    fn is_expected(&self, machine: &Machine) -> bool {
+        let boot = self
+            .machine_type(&machine.machine_type)
+            .map_or(0, |t| t.boot_ms);
+        let overdue = self.now.saturating_sub(machine.rented) > 2 * boot;
+        machine.takes_tasks() || (machine.phase == MachinePhase::Booting && !overdue)
+    }
+
+    pub(super) fn on_rented(&mut self, offer: Offer, result: Result<CloudReply, CloudError>) {
+        let now = self.now;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        leader.hiring.renting = leader.hiring.renting.saturating_sub(1);
+        match result {
+            Ok(CloudReply::Rented(names)) => {
+                leader.hiring.refused.remove(&offer);
+                for name in names {
+                    let id = MachineId::from(&*name);
+                    leader.machines.entry(id.clone()).or_insert_with(|| {
+                        Machine::new(
+                            id,
+                            offer.machine_type.clone(),
+                            offer.zone.clone(),
+                            offer.spot,
+                            now,
+                        )
+                    });
+                }
+            }
+            Ok(_) => {}
+            Err(CloudError::NoCapacity) => {
+                let pause = leader.hiring.refused.get(&offer).map_or(0, |(_, p)| *p);
+                let pause = (pause * 2).clamp(k::REFUSED_FIRST_MS, k::REFUSED_MOST_MS);
+                tracing::info!(
+                    machine_type = %offer.machine_type, zone = %offer.zone, spot = offer.spot, pause, "no capacity"
+                );
+                leader.hiring.refused.insert(offer, (now + pause, pause));
+                leader.dirty = true;
+            }
+            Err(CloudError::Failed(why)) => {
+                // If it was executed all the same, its machines show up in the list.
+                tracing::info!("renting failed: {why}");
+                leader.hiring.hire_at = now + k::RETRY_MOST_MS;
+            }
+        }
+    }
+
+    pub(super) fn on_machines(&mut self, result: Result<CloudReply, CloudError>) {
+        let now = self.now;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Ok(CloudReply::Listed(list)) = result else {
+            if let Err(e) = result {
+                tracing::debug!("machine list: {e}");
+            }
+            leader.hiring.list.failed(now, &mut self.rng);
+            return;
+        };
+        leader.hiring.list_after = None;
+        leader.hiring.listed = true;
+        leader.hiring.list.worked(now + k::LIST_EVERY_MS);
+        if let Some(last) = list.machines.last().filter(|_| list.more) {
+            leader.hiring.list_after = Some(last.id.clone());
+            leader.hiring.list.worked(now);
+        }
+        for listed in list.machines {
+            let id = MachineId::from(&*listed.id);
+            if leader.gone.contains(&id) {
+                continue;
+            }
+            let age = (listed.age_s.clamp(0.0, 1e9) * 1000.0) as u64;
+            let machine = leader.machines.entry(id.clone()).or_insert_with(|| {
+                tracing::info!(machine = %id, "machine found in the list");
+                Machine::new(id, "".into(), "".into(), listed.spot, now)
+            });
+            if machine.machine_type.is_empty() {
+                machine.machine_type = listed.machine_type.as_str().into();
+                machine.zone = listed.zone.as_str().into();
+                machine.spot = listed.spot;
+                machine.rented = now.saturating_sub(age);
+            }
+            if listed.state == MachineState::Failed && machine.phase != MachinePhase::Returning {
+                tracing::info!(machine = %machine.id, "machine has failed");
+                machine.phase = MachinePhase::Returning;
+            }
+        }
+    }
+
+    /// Looks over the machines: silent, never up, failing, about to be taken, idle.
+    pub(super) fn keep_machines(&mut self) {
+        let now = self.now;
+        let idle_ms = (self.settings.operator.idle_s * 1000.0) as u64;
+        let silent_ms = self.timing.silent;
+        let confident = self.confident();
+        let types = self.types.clone();
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if now < leader.hiring.upkeep_at {
+            return;
+        }
+        leader.hiring.upkeep_at = now + k::UPKEEP_EVERY_MS;
+        let mut taken = Vec::new();
+        for machine in leader.machines.values_mut() {
+            let silent = now.saturating_sub(machine.seen) > silent_ms;
+            let boot_ms = types
+                .as_ref()
+                .and_then(|t| t.get(&machine.machine_type))
+                .map_or(0, |t| (t.boot_ms as f64 * k::BOOT_PATIENCE) as u64)
+                .max(k::BOOT_PATIENCE_MIN_MS);
+            let empty = machine.tasks.is_empty() && machine.strays.is_empty();
+            let idle = empty && now.saturating_sub(machine.idle_since) > idle_ms;
+            let held = now.saturating_sub(machine.rented);
+            let why = match machine.phase {
+                MachinePhase::Booting if silent && !machine.tasks.is_empty() => "silent",
+                MachinePhase::Booting if held > boot_ms => "never came up",
+                MachinePhase::Up if silent => "silent",
+                MachinePhase::Up if machine.aside && empty => "put aside",
+                MachinePhase::Up if idle && held > k::MIN_CHARGE_MS => "idle",
+                _ => "",
+            };
+            if !why.is_empty() {
+                tracing::info!(machine = %machine.id, why, "returning machine");
+                machine.phase = MachinePhase::Returning;
+            }
+            if let Some(at) = machine.taken_at {
+                taken.extend(
+                    machine
+                        .tasks
+                        .iter()
+                        .map(|t| (t.clone(), at.saturating_sub(now))),
+                );
+            }
+        }
+        // The machines and everything on them are gone only when the cloud says so; until then
+        // their tasks count as running.
+        let due = confident && leader.hiring.returns.due(now);
+        let back: Vec<MachineId> = leader
+            .machines
+            .values_mut()
+            .filter(|m| due && m.phase == MachinePhase::Returning)
+            .take(k::RETURN_MOST)
+            .map(|m| m.id.clone())
+            .collect();
+        if !back.is_empty() {
+            leader.hiring.returns.busy = true;
+            let names = back.iter().map(ToString::to_string).collect();
+            self.cloud(Op::Return(back), CloudCall::Return(names));
+        }
+        self.leave_taken(taken);
+    }
+
+    /// Tasks on machines that will be taken save while there is time.
+    fn leave_taken(&mut self, tasks: Vec<(TaskId, Ms)>) {
+        let now = self.now;
+        for (task, left) in tasks {
+            let Some(job) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            let grace_s = job.spec.grace_s();
+            if left > (grace_s + 1) * 1000 + k::SAFETY_MARGIN_MS || !job.is_open() {
+                continue;
+            }
+            let gang = job.is_gang();
+            let Some(placement) = job.live.get_mut(&task.index) else {
+                continue;
+            };
+            if placement.stop.is_some() {
+                continue;
+            }
+            placement.order_stop(grace_s, now);
+            if gang {
+                job.stop_all(grace_s, now);
+            }
+            self.send_stops(&task.job);
+        }
+    }
+
+    pub(super) fn on_returned(
+        &mut self,
+        names: Vec<MachineId>,
+        result: Result<CloudReply, CloudError>,
+    ) {
+        let now = self.now;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if let Err(why) = result {
+            tracing::info!("returning failed: {why}");
+            leader.hiring.returns.failed(now, &mut self.rng);
+            return;
+        }
+        leader.hiring.returns.worked(now);
+        leader.dirty = true;
+        let mut lost = Vec::new();
+        for id in names {
+            if let Some(machine) = leader.machines.remove(&id) {
+                lost.extend(machine.tasks);
+            }
+            leader.gone.push_back(id);
+            if leader.gone.len() > k::GONE_REMEMBERED {
+                leader.gone.pop_front();
+            }
+        }
+        for task in lost {
+            tracing::info!(%task, "task lost with its machine");
+            self.lose(&task);
+        }
+    }
+}
--- /dev/null
+++ b/src/engine/leadership.rs
@@ -0,0 +1,257 @@
+//! Taking, keeping and giving up office.
+//!
+//! Office is a key under a state-service lease. The commit that takes it also raises the
+//! durable term, and holds only if key and term are as read before; so terms are never used
+//! twice, and at most one leader's commits succeed.
+
+use super::records::{self, LEAD, LeadRecord, TERM, TermRecord};
+use super::{Engine, Holder, Leader, Op, Role, ends, hiring, recovery, rounds};
+use crate::constants as k;
+use crate::model::Ms;
+use crate::peer::Announcement;
+use crate::store::{StoreCall, StoreError, StoreReply};
+use crate::wire::store::Txn;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Less what the steady clock may have lost.
+fn less_drift(ms: u64) -> u64 {
+    ms - ms * k::DRIFT_PPM / 1_000_000
+}
+
+impl Engine {
+    pub(super) fn on_leader_seen(&mut self, seen: Holder) {
+        if self
+            .holder
+            .as_ref()
+            .is_some_and(|h| h.version >= seen.version)
+        {
+            return;
+        }
+        self.term_heard = self.term_heard.max(seen.term);
+        tracing::info!(leader = seen.node, term = seen.term, "leader seen");
+        if self.leader().is_some_and(|l| l.version < seen.version) {
+            self.step_down("another node has taken office");
+        }
+        // Its own key from before a restart: that process is gone, so there is nobody to wait
+        // for.
+        self.holder = Some(seen);
+    }
+
+    pub(super) fn on_leader_gone(&mut self, version: u64) {
+        if self.holder.as_ref().is_some_and(|h| h.version > version) {
+            return;
+        }
+        self.holder = None;
+        if self.leader().is_some_and(|l| l.version <= version) {
+            self.step_down("the lease has ended");
+        }
+    }
+
+    pub(super) fn on_announced(&mut self, said: Announcement) {
+        if said.store_ok {
+            self.peer_store_ok = Some(self.now);
+        }
+        self.term_heard = self.term_heard.max(said.term);
+        // A leader that the state service refuses hears of its successor this way.
+        if self.leader().is_some_and(|l| l.term < said.term) {
+            self.step_down("a peer leads with a higher term");
+        }
+    }
+
+    /// Whether this node may start things: its lease surely stands and it has heard of all
+    /// changes a moment ago.
+    pub(super) fn confident(&self) -> bool {
+        let ttl = less_drift(k::LEASE_TTL_MS);
+        self.leader().is_some_and(|l| self.now < l.renewed + ttl)
+            && self.fresh_at.is_some_and(|at| self.now < at + ttl)
+    }
+
+    /// Whether this node may still answer reports, which renews workers' leases. Bounded, so
+    /// that a cancellation it has not heard of still ends in time: see the timing's grace.
+    pub(super) fn may_answer(&self) -> bool {
+        let grace = self.timing.grace;
+        self.leader().is_some_and(|l| self.now < l.renewed + grace)
+            && self.fresh_at.is_some_and(|at| self.now < at + grace)
+    }
+
+    pub(super) fn lead_when_due(&mut self) {
+        let now = self.now;
+        match &mut self.role {
+            Role::Leader(leader) => {
+                if !leader.touching && now >= leader.touch_at {
+                    leader.touching = true;
+                    let lease = leader.lease;
+                    self.store(Op::Touch { sent: now }, StoreCall::Touch { lease });
+                } else if !self.may_answer() {
+                    self.step_down("no contact with the state service");
+                }
+            }
+            Role::Follower => {
+                let vacant = self
+                    .holder
+                    .as_ref()
+                    .is_none_or(|h| h.node == self.settings.node);
+                let current = self.revision.is_some() && self.store_ok();
+                if vacant && current && self.types.is_some() && self.campaign.due(now) {
+                    self.campaign.busy = true;
+                    self.role = Role::Campaign { lease: None };
+                    let call = StoreCall::Hold {
+                        ttl_ms: k::LEASE_TTL_MS,
+                    };
+                    self.store(Op::CampaignHold { sent: now }, call);
+                }
+            }
+            Role::Campaign { .. } => {}
+        }
+    }
+
+    pub(super) fn on_held(&mut self, sent: Ms, result: Result<StoreReply, StoreError>) {
+        match (&mut self.role, result) {
+            (Role::Campaign { lease }, Ok(StoreReply::Held { lease: held })) => {
+                *lease = Some((held, sent));
+                self.store(Op::CampaignTerm, StoreCall::Get { key: TERM.into() });
+            }
+            _ => self.end_campaign(),
+        }
+    }
+
+    pub(super) fn on_term(&mut self, result: Result<StoreReply, StoreError>) {
+        let Role::Campaign {
+            lease: Some((lease, _)),
+        } = self.role
+        else {
+            return self.end_campaign();
+        };
+        let (last, version) = match result {
+            Ok(StoreReply::Got(None)) => (0, 0),
+            Ok(StoreReply::Got(Some(item))) => match records::read::<TermRecord>(item.value) {
+                Some(record) => (record.term, item.version),
+                None => {
+                    tracing::error!(key = TERM, "record can't be read, nobody can lead");
+                    return self.end_campaign();
+                }
+            },
+            _ => return self.end_campaign(),
+        };
+        // Someone else may have taken office since the campaign began.
+        let held_by = self.holder.as_ref();
+        if held_by.is_some_and(|h| h.node != self.settings.node) {
+            return self.end_campaign();
+        }
+        let lead_version = held_by.map_or(0, |h| h.version);
+        let term = last.max(self.term_heard) + 1;
+        let lead = LeadRecord {
+            node: self.settings.node.clone(),
+            term,
+        };
+        let txn = Txn::default()
+            .when(LEAD, lead_version)
+            .when(TERM, version)
+            .put_leased(LEAD, records::value(&lead), lease)
+            .put(TERM, records::value(&TermRecord { term }));
+        self.store(Op::CampaignCommit { term }, StoreCall::Commit(txn));
+    }
+
+    pub(super) fn on_elected(&mut self, term: u64, result: Result<StoreReply, StoreError>) {
+        let Role::Campaign {
+            lease: Some((lease, sent)),
+        } = self.role
+        else {
+            return self.end_campaign();
+        };
+        let Ok(StoreReply::Committed { revision }) = result else {
+            return self.end_campaign();
+        };
+        self.campaign.worked(self.now);
+        tracing::info!(term, "took office");
+        self.holder = Some(Holder {
+            node: self.settings.node.clone(),
+            term,
+            version: revision,
+        });
+        self.term_heard = self.term_heard.max(term);
+        self.forget_placements();
+        // Outcomes of an earlier office's calls mean nothing to this one.
+        self.ops
+            .retain(|_, op| matches!(op, Op::Types | Op::ListLive { .. } | Op::Watch { .. }));
+        self.role = Role::Leader(Box::new(Leader {
+            term,
+            version: revision,
+            lease,
+            renewed: sent,
+            touch_at: sent + k::LEASE_RENEW_MS,
+            touching: false,
+            loading: Some(recovery::Part::Work),
+            machines: BTreeMap::new(),
+            gone: VecDeque::new(),
+            rounds: rounds::Rounds::default(),
+            ends: ends::Ends::default(),
+            hiring: hiring::Hiring::new(self.now),
+            dirty: true,
+            place_at: self.now,
+        }));
+        self.load(recovery::Part::Work, None);
+    }
+
+    /// The campaign failed, or its outcome is unknown: its lease must not linger with the key.
+    fn end_campaign(&mut self) {
+        if let Role::Campaign { lease } = &self.role {
+            if let Some((lease, _)) = *lease {
+                self.store(Op::Forgotten, StoreCall::Drop { lease });
+            }
+            self.role = Role::Follower;
+        }
+        self.campaign.failed(self.now, &mut self.rng);
+    }
+
+    pub(super) fn on_touched(&mut self, sent: Ms, result: Result<StoreReply, StoreError>) {
+        let now = self.now;
+        let Some(leader) = self.leader_mut() else {
+            return;
+        };
+        leader.touching = false;
+        match result {
+            Ok(_) => {
+                leader.renewed = leader.renewed.max(sent);
+                leader.touch_at = sent + k::LEASE_RENEW_MS;
+            }
+            Err(StoreError::NoLease) => self.step_down("the lease has ended"),
+            Err(e) => {
+                tracing::debug!("renewal: {e}");
+                leader.touch_at = now + k::LEASE_RENEW_MS / 4;
+            }
+        }
+    }
+
+    pub(super) fn step_down(&mut self, why: &str) {
+        if let Role::Leader(leader) = &self.role {
+            tracing::info!(term = leader.term, "gave up office: {why}");
+            let lease = leader.lease;
+            self.store(Op::Forgotten, StoreCall::Drop { lease });
+            self.role = Role::Follower;
+            self.forget_placements();
+            self.campaign.failed(self.now, &mut self.rng);
+        }
+    }
+
+    /// What only a leader knows of jobs is not carried from one office to the next.
+    fn forget_placements(&mut self) {
+        for job in self.jobs.values_mut() {
+            let fresh = crate::model::Job::new(
+                job.spec.clone(),
+                job.version,
+                job.submitted,
+                job.phase,
+                job.seen,
+            );
+            *job = fresh;
+        }
+        self.jobs
+            .retain(|_, job| !matches!(job.phase, crate::model::Phase::Done { written: true }));
+        for job in self.jobs.values_mut() {
+            if matches!(job.phase, crate::model::Phase::Done { .. }) {
+                job.phase = crate::model::Phase::Open;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/engine/mod.rs
@@ -0,0 +1,426 @@
+//! The one owner of a node's state.
+//!
+//! [`Engine::step`] takes a batch of commands with the time and returns effects. It does no I/O
+//! and reads no clock, so that given the same inputs and seed it does the same; everything that
+//! touches the world is an [`Effect`] that the node's runtime carries out, and whose outcome
+//! comes back as a command.
+
+mod ends;
+mod hiring;
+mod leadership;
+mod records;
+mod recovery;
+mod reports;
+mod rounds;
+mod watching;
+
+pub use records::{
+    FinalRecord, JobRecord, final_key, final_value, job_key, job_value, read_final, read_job,
+};
+
+use crate::cloud::{CloudCall, CloudError, CloudReply};
+use crate::constants as k;
+use crate::model::{Job, JobId, Machine, MachineId, MachineType, Ms, Types};
+use crate::peer::Announcement;
+use crate::settings::{Settings, Timing};
+use crate::store::{StoreCall, StoreError, StoreReply};
+use crate::wire::worker::{DirectOrders, Orders, Report};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Names a call whose outcome comes back.
+pub type OpId = u64;
+/// Names a report that waits for its answer.
+pub type ReplyId = u64;
+
+#[derive(Debug)]
+pub enum Command {
+    /// A worker's report, already checked for form.
+    Report { report: Report, reply: ReplyId },
+    /// Where a job's tasks stand, for display.
+    Count { job: JobId, reply: ReplyId },
+    StoreDone {
+        op: OpId,
+        result: Result<StoreReply, StoreError>,
+    },
+    CloudDone {
+        op: OpId,
+        result: Result<CloudReply, CloudError>,
+    },
+    /// What another node says of itself.
+    Announced(Announcement),
+}
+
+/// The answer to a report or a count.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reply {
+    Orders(Orders),
+    /// Not the leader; perhaps it knows who is.
+    Elsewhere(Option<String>),
+    /// Perhaps the leader, but without the right to answer.
+    Unavailable,
+    Counts {
+        done: u64,
+        running: u64,
+    },
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Effect {
+    Reply {
+        to: ReplyId,
+        reply: Reply,
+    },
+    Store {
+        op: OpId,
+        call: StoreCall,
+        urgent: bool,
+    },
+    Cloud {
+        op: OpId,
+        call: CloudCall,
+    },
+    Orders {
+        addr: SocketAddr,
+        orders: DirectOrders,
+    },
+}
+
+/// What the rest of the node may know of the engine.
+#[derive(Debug, Clone, Default)]
+pub struct View {
+    /// Whether users can be served here.
+    pub ready: bool,
+    pub leading: bool,
+    pub term: u64,
+    pub leader: Option<String>,
+    /// Machine types, once the cloud has told them.
+    pub types: Option<Arc<Types>>,
+    /// The state service has answered lately.
+    pub store_ok: bool,
+}
+
+/// What a call that is under way was made for.
+#[derive(Debug)]
+enum Op {
+    Types,
+    ListLive {
+        first: Option<u64>,
+    },
+    Watch {
+        sent: Ms,
+    },
+    CampaignHold {
+        sent: Ms,
+    },
+    CampaignTerm,
+    CampaignCommit {
+        term: u64,
+    },
+    Touch {
+        sent: Ms,
+    },
+    /// Nobody waits for the outcome.
+    Forgotten,
+    Load {
+        part: recovery::Part,
+    },
+    Round,
+    Ends(ends::Batch),
+    Machines,
+    Rent(hiring::Offer),
+    Return(Vec<MachineId>),
+}
+
+/// The holder of the leader's key, as last seen in the state service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Holder {
+    node: String,
+    term: u64,
+    version: u64,
+}
+
+#[derive(Debug)]
+enum Role {
+    Follower,
+    Campaign { lease: Option<(u64, Ms)> },
+    Leader(Box<Leader>),
+}
+
+/// What only a leader has. Dropped as a whole when office is lost.
+#[derive(Debug)]
+struct Leader {
+    /// The durable term: the token on all orders, and the upper part of attempt numbers.
+    term: u64,
+    /// Version of the leader's key: the condition on every commit.
+    version: u64,
+    lease: u64,
+    /// Send time of the last answered renewal.
+    renewed: Ms,
+    touch_at: Ms,
+    touching: bool,
+    loading: Option<recovery::Part>,
+    machines: BTreeMap<MachineId, Machine>,
+    gone: VecDeque<MachineId>,
+    rounds: rounds::Rounds,
+    ends: ends::Ends,
+    hiring: hiring::Hiring,
+    /// Something changed that may allow a placement.
+    dirty: bool,
+    place_at: Ms,
+}
+
+/// A call that is repeated with growing pauses while it fails.
+#[derive(Debug, Default)]
+struct Retry {
+    at: Ms,
+    pause: u64,
+    busy: bool,
+}
+
+impl Retry {
+    fn due(&self, now: Ms) -> bool {
+        !self.busy && now >= self.at
+    }
+
+    fn worked(&mut self, next: Ms) {
+        *self = Retry {
+            at: next,
+            pause: 0,
+            busy: false,
+        };
+    }
+
+    fn failed(&mut self, now: Ms, rng: &mut SmallRng) {
+        self.busy = false;
+        self.pause = (self.pause * 2).clamp(k::RETRY_FIRST_MS, k::RETRY_MOST_MS);
+        // Jitter keeps three nodes from asking in step after an outage.
+        self.at = now + rng.random_range(self.pause / 2..=self.pause);
+    }
+}
+
+pub struct Engine {
+    settings: Arc<Settings>,
+    timing: Timing,
+    now: Ms,
+    wall: u64,
+    rng: SmallRng,
+    out: Vec<Effect>,
+    next_op: OpId,
+    ops: BTreeMap<OpId, Op>,
+    types: Option<Arc<Types>>,
+    types_retry: Retry,
+    /// Revision up to which `live/` is known; none while it has to be listed.
+    revision: Option<u64>,
+    listed: BTreeSet<JobId>,
+    watch: Retry,
+    /// Send time of the last answered watch: all changes before it are known.
+    fresh_at: Option<Ms>,
+    holder: Option<Holder>,
+    jobs: BTreeMap<JobId, Job>,
+    /// Records that could not be read: left alone.
+    unreadable: BTreeSet<String>,
+    role: Role,
+    campaign: Retry,
+    /// Highest term heard of, from any source.
+    term_heard: u64,
+    /// When peers last said that the state service answers them.
+    peer_store_ok: Option<Ms>,
+}
+
+impl Engine {
+    pub fn new(settings: Arc<Settings>, seed: u64) -> Self {
+        Engine {
+            timing: settings.timing(),
+            settings,
+            now: 0,
+            wall: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            out: Vec::new(),
+            next_op: 0,
+            ops: BTreeMap::new(),
+            types: None,
+            types_retry: Retry::default(),
+            revision: None,
+            listed: BTreeSet::new(),
+            watch: Retry::default(),
+            fresh_at: None,
+            holder: None,
+            jobs: BTreeMap::new(),
+            unreadable: BTreeSet::new(),
+            role: Role::Follower,
+            campaign: Retry::default(),
+            term_heard: 0,
+            peer_store_ok: None,
+        }
+    }
+
+    /// Works through a batch of commands, then through what is due by now.
+    pub fn step(
+        &mut self,
+        now: Ms,
+        wall: u64,
+        batch: impl IntoIterator<Item = Command>,
+    ) -> Vec<Effect> {
+        self.now = self.now.max(now);
+        self.wall = wall;
+        for command in batch {
+            match command {
+                Command::Report { report, reply } => self.on_report(report, reply),
+                Command::Count { job, reply } => self.on_count(&job, reply),
+                Command::StoreDone { op, result } => self.on_store(op, result),
+                Command::CloudDone { op, result } => self.on_cloud(op, result),
+                Command::Announced(announcement) => self.on_announced(announcement),
+            }
+        }
+        self.on_time();
+        std::mem::take(&mut self.out)
+    }
+
+    pub fn view(&self) -> View {
+        let store_ok = self.store_ok();
+        // A node that alone has lost the state service cannot serve users; in an outage that
+        // all nodes see, staying in the balancer's rotation gives users a prompt 503.
+        let others_ok = self
+            .peer_store_ok
+            .is_some_and(|at| self.now.saturating_sub(at) < 3 * k::PEER_EVERY.as_millis() as u64);
+        View {
+            ready: self.types.is_some() && self.revision.is_some() && (store_ok || !others_ok),
+            leading: self.leader().is_some(),
+            term: self.leader().map_or(0, |l| l.term),
+            leader: self.holder.as_ref().map(|h| h.node.clone()),
+            types: self.types.clone(),
+            store_ok,
+        }
+    }
+
+    fn store_ok(&self) -> bool {
+        let slow = k::WATCH_MS + k::WATCH_SLACK.as_millis() as u64;
+        self.fresh_at
+            .is_some_and(|at| self.now.saturating_sub(at) < slow)
+    }
+
+    fn leader(&self) -> Option<&Leader> {
+        match &self.role {
+            Role::Leader(leader) => Some(leader),
+            _ => None,
+        }
+    }
+
+    fn leader_mut(&mut self) -> Option<&mut Leader> {
+        match &mut self.role {
+            Role::Leader(leader) => Some(leader),
+            _ => None,
+        }
+    }
+
+    fn machine_type(&self, name: &str) -> Option<&MachineType> {
+        self.types.as_ref().and_then(|types| types.get(name))
+    }
+
+    fn store(&mut self, op: Op, call: StoreCall) {
+        let urgent = matches!(
+            op,
+            Op::Touch { .. }
+                | Op::CampaignHold { .. }
+                | Op::CampaignCommit { .. }
+                | Op::CampaignTerm
+        );
+        let id = self.op(op);
+        self.out.push(Effect::Store {
+            op: id,
+            call,
+            urgent,
+        });
+    }
+
+    fn cloud(&mut self, op: Op, call: CloudCall) {
+        let id = self.op(op);
+        self.out.push(Effect::Cloud { op: id, call });
+    }
+
+    fn op(&mut self, op: Op) -> OpId {
+        self.next_op += 1;
+        self.ops.insert(self.next_op, op);
+        self.next_op
+    }
+
+    fn on_store(&mut self, op: OpId, result: Result<StoreReply, StoreError>) {
+        match self.ops.remove(&op) {
+            Some(Op::ListLive { first }) => self.on_listed_live(first, result),
+            Some(Op::Watch { sent }) => self.on_watched(sent, result),
+            Some(Op::CampaignHold { sent }) => self.on_held(sent, result),
+            Some(Op::CampaignTerm) => self.on_term(result),
+            Some(Op::CampaignCommit { term }) => self.on_elected(term, result),
+            Some(Op::Touch { sent }) => self.on_touched(sent, result),
+            Some(Op::Load { part }) => self.on_loaded(part, result),
+            Some(Op::Round) => self.on_round_written(result),
+            Some(Op::Ends(batch)) => self.on_ends_written(batch, result),
+            // The remaining kinds are the cloud's, or nobody waits.
+            _ => {}
+        }
+    }
+
+    fn on_cloud(&mut self, op: OpId, result: Result<CloudReply, CloudError>) {
+        match self.ops.remove(&op) {
+            Some(Op::Types) => self.on_types(result),
+            Some(Op::Machines) => self.on_machines(result),
+            Some(Op::Rent(offer)) => self.on_rented(offer, result),
+            Some(Op::Return(machines)) => self.on_returned(machines, result),
+            _ => {}
+        }
+    }
+
+    fn on_types(&mut self, result: Result<CloudReply, CloudError>) {
+        match result {
+            Ok(CloudReply::Types(list)) => {
+                let types = list.types.iter().map(MachineType::read);
+                self.types = Some(Arc::new(types.map(|t| (t.name.clone(), t)).collect()));
+                self.types_retry.worked(self.now + k::TYPES_EVERY_MS);
+            }
+            other => {
+                if let Err(e) = other {
+                    tracing::debug!("machine types: {e}");
+                }
+                self.types_retry.failed(self.now, &mut self.rng);
+            }
+        }
+    }
+
+    fn on_count(&mut self, job: &JobId, reply: ReplyId) {
+        let reply_with = match self.jobs.get(job) {
+            Some(job) if self.leader().is_some() => Reply::Counts {
+                done: job.done.len(),
+                running: job.running(),
+            },
+            _ => Reply::Unavailable,
+        };
+        self.reply(reply, reply_with);
+    }
+
+    fn reply(&mut self, to: ReplyId, reply: Reply) {
+        self.out.push(Effect::Reply { to, reply });
+    }
+
+    /// What is due by now.
+    fn on_time(&mut self) {
+        let leading = self.leader().is_some();
+        // Spot prices matter to the leader only; the others need the types once.
+        if self.types_retry.due(self.now) && (leading || self.types.is_none()) {
+            self.types_retry.busy = true;
+            self.cloud(Op::Types, CloudCall::Types);
+        }
+        self.watch_when_due();
+        self.lead_when_due();
+        if self.leader().is_some_and(|l| l.loading.is_none()) {
+            self.keep_machines();
+            self.keep_rounds();
+            self.place_when_due();
+            self.write_ends_when_due();
+            self.hire_when_due();
+        }
+    }
+}
--- /dev/null
+++ b/src/engine/records.rs
@@ -0,0 +1,137 @@
+//! The service's records in the state service: their keys and their form.
+//!
+//! | key | value | written by |
+//! | --- | --- | --- |
+//! | `live/lead` | holder and term, under the holder's lease | a candidate |
+//! | `term` | the highest term ever taken | a candidate |
+//! | `live/job/<id>` | submission, time, cancelled or not | any node; removed by the leader |
+//! | `final/<id>` | how the job ended | any node (cancelled), the leader (done) |
+//! | `work/<id>/<chunk>` | which tasks of an array are done | the leader |
+//! | `rounds/<number>` | the starts of a round; its undo is to stop each of them | the leader |
+
+use crate::model::JobId;
+use crate::wire;
+use crate::wire::user::{Job, JobState};
+use rmpv::Value;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+pub const LIVE: &str = "live/";
+pub const LEAD: &str = "live/lead";
+pub const JOBS: &str = "live/job/";
+pub const TERM: &str = "term";
+pub const WORK: &str = "work/";
+pub const ROUNDS: &str = "rounds/";
+const FINAL: &str = "final/";
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    pub job: Job,
+    /// Time of day of the submission, ms.
+    pub at_ms: u64,
+    pub cancelled: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FinalRecord {
+    pub state: JobState,
+    pub tasks: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeadRecord {
+    pub node: String,
+    pub term: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TermRecord {
+    pub term: u64,
+}
+
+/// The starts of one round. All have the round's number as their attempt. The undo list is
+/// implied: each start is undone by stopping that task's attempt on that machine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoundRecord {
+    /// Job, machine, tasks.
+    pub starts: Vec<(String, String, Vec<u32>)>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkRecord {
+    pub done: String,
+}
+
+pub fn job_key(id: &str) -> String {
+    format!("{JOBS}{id}")
+}
+
+pub fn final_key(id: &str) -> String {
+    format!("{FINAL}{id}")
+}
+
+pub fn work_key(id: &JobId, chunk: u32) -> String {
+    format!("{WORK}{id}/{chunk}")
+}
+
+pub fn work_of_key(key: &str) -> Option<(JobId, u32)> {
+    let (job, chunk) = key.strip_prefix(WORK)?.rsplit_once('/')?;
+    Some((job.into(), chunk.parse().ok()?))
+}
+
+pub fn round_key(number: u64) -> String {
+    format!("{ROUNDS}{number:016x}")
+}
+
+pub fn round_of_key(key: &str) -> Option<u64> {
+    u64::from_str_radix(key.strip_prefix(ROUNDS)?, 16).ok()
+}
+
+/// A record as a value of the state service.
+pub fn value<T: Serialize>(record: &T) -> Value {
+    rmp_serde::from_slice(&wire::encode(record)).unwrap_or(Value::Nil)
+}
+
+pub fn read<T: DeserializeOwned>(value: Value) -> Option<T> {
+    // Through bytes, as maps: the only form the records are written in.
+    wire::decode(&wire::encode(&value)).ok()
+}
+
+pub fn job_value(record: &JobRecord) -> Value {
+    value(record)
+}
+
+pub fn final_value(record: &FinalRecord) -> Value {
+    value(record)
+}
+
+pub fn read_job(value: Value) -> Option<JobRecord> {
+    read(value)
+}
+
+pub fn read_final(value: Value) -> Option<FinalRecord> {
+    read(value)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::wire::user::{Kind, tests::job};
+
+    #[test]
+    fn records_survive_the_state_service() {
+        let record = JobRecord {
+            job: job("run-7", Kind::Gang, 2),
+            at_ms: 1_700_000_000_000,
+            cancelled: false,
+        };
+        assert_eq!(read_job(job_value(&record)).unwrap(), record);
+        let round = RoundRecord {
+            starts: vec![("run-7".into(), "host-1".into(), vec![0, 1])],
+        };
+        assert_eq!(read::<RoundRecord>(value(&round)).unwrap(), round);
+        assert_eq!(round_of_key(&round_key(1 << 40)), Some(1 << 40));
+        assert_eq!(work_of_key("work/run-7/2"), Some(("run-7".into(), 2)));
+        assert!(read::<RoundRecord>(Value::from("x")).is_none());
+    }
+}
--- /dev/null
+++ b/src/engine/reports.rs
@@ -0,0 +1,483 @@
+//! Workers' reports: checked against the model, and answered with orders.
+//!
+//! Starts travel only in answers to reports. A worker drops an answer that comes late, so a
+//! start is either done before the worker's next report or never: a newer report that does not
+//! name it proves that the task is not there. Stops are sent directly as well; a late one
+//! cannot harm, since it names the attempt.
+
+use super::{Engine, Reply, ReplyId, Role};
+use crate::constants as k;
+use crate::model::{JobId, Machine, MachineId, MachinePhase, Phase, Stage, Tally, TaskId};
+use crate::wire::user::Kind;
+use crate::wire::worker::{DirectOrders, Order, Orders, Report, Task, TaskState, Why};
+use std::collections::BTreeSet;
+
+impl Engine {
+    pub(super) fn on_report(&mut self, report: Report, to: ReplyId) {
+        let Some(leader) = self.leader() else {
+            let elsewhere = match &self.holder {
+                Some(h) if h.node != self.settings.node => Reply::Elsewhere(Some(h.node.clone())),
+                _ => Reply::Unavailable,
+            };
+            return self.reply(to, elsewhere);
+        };
+        if report.token > leader.term {
+            // The worker has seen a later leader.
+            self.term_heard = self.term_heard.max(report.token);
+            self.step_down("a worker has seen a higher term");
+            return self.reply(to, Reply::Elsewhere(None));
+        }
+        if !self.may_answer() {
+            return self.reply(to, Reply::Unavailable);
+        }
+        let token = leader.term;
+        let confirmed = report.token == token;
+        let loaded = leader.loading.is_none();
+        let mut orders = Vec::new();
+        // Before the records are read, or until the worker confirms the token, its lease is
+        // renewed and nothing else: an older token's starts may still be on their way.
+        if loaded && self.note_machine(&report, confirmed) && confirmed {
+            self.reconcile(&report, &mut orders);
+        }
+        self.reply(to, Reply::Orders(Orders { token, orders }));
+    }
+
+    /// Takes note of the machine itself; false if the report is out of date or of a machine
+    /// that is gone.
+    fn note_machine(&mut self, report: &Report, confirmed: bool) -> bool {
+        let now = self.now;
+        let tally = Tally {
+            session: report.session,
+            seq: report.seq,
+        };
+        let Some(leader) = self.leader_mut() else {
+            return false;
+        };
+        let id = MachineId::from(&*report.machine);
+        if leader.gone.contains(&id) {
+            return false;
+        }
+        let machine = leader.machines.entry(id.clone()).or_insert_with(|| {
+            tracing::info!(machine = %id, "unexpected machine reports");
+            Machine::new(id, "".into(), "".into(), report.spot, now)
+        });
+        if tally <= machine.tally {
+            return false;
+        }
+        machine.tally = tally;
+        machine.seen = now;
+        if &*machine.machine_type != report.machine_type.as_str() {
+            machine.machine_type = report.machine_type.as_str().into();
+        }
+        if &*machine.zone != report.zone.as_str() {
+            machine.zone = report.zone.as_str().into();
+        }
+        machine.spot = report.spot;
+        machine.addr = report.addr.parse().ok();
+        if let Some(notice) = report.notice_s.filter(|n| n.is_finite()) {
+            if machine.taken_at.is_none() {
+                tracing::info!(machine = report.machine, notice, "machine will be taken");
+                leader.dirty = true;
+            }
+            machine.taken_at = Some(now + (notice.max(0.0) * 1000.0) as u64);
+        }
+        if confirmed && machine.phase == MachinePhase::Booting {
+            machine.phase = MachinePhase::Up;
+            machine.idle_since = now;
+            leader.dirty = true;
+        }
+        true
+    }
+
+    /// Compares a confirmed, newest report with the model, and collects orders.
+    fn reconcile(&mut self, report: &Report, orders: &mut Vec<Order>) {
+        let id = MachineId::from(&*report.machine);
+        let tally = Tally {
+            session: report.session,
+            seq: report.seq,
+        };
+        let mut named = BTreeSet::new();
+        let mut strays = BTreeSet::new();
+        for task in &report.tasks {
+            let Some(task_id) = TaskId::parse(&task.task) else {
+                tracing::debug!(task = task.task, "report names no task");
+                continue;
+            };
+            named.insert((task_id.clone(), task.attempt));
+            if task.state == TaskState::Exited {
+                self.on_exited(&id, &task_id, task);
+                if self.end_is_durable(&task_id, task) {
+                    orders.push(Order::Forget {
+                        task: task.task.clone(),
+                        attempt: task.attempt,
+                    });
+                }
+            } else if !self.on_present(&id, &task_id, task) {
+                orders.push(Order::Stop {
+                    task: task.task.clone(),
+                    attempt: task.attempt,
+                    grace_s: 0,
+                });
+                strays.insert((task_id, task.attempt));
+            }
+        }
+        self.on_absent(&id, tally, &named);
+        let now = self.now;
+        if let Some(machine) = self.leader_mut().and_then(|l| l.machines.get_mut(&id)) {
+            for (task, attempt) in &strays {
+                if machine
+                    .strays
+                    .insert((task.clone(), *attempt), ())
+                    .is_none()
+                {
+                    tracing::info!(machine = %id, %task, "stray task is stopped");
+                }
+            }
+            machine.strays.retain(|stray, ()| strays.contains(stray));
+            if !machine.tasks.is_empty() {
+                machine.idle_since = now;
+            }
+        }
+        self.order_starts_and_stops(&id, tally, orders);
+    }
+
+    /// A task on its machine; false if it has no business there.
+    fn on_present(&mut self, machine: &MachineId, id: &TaskId, task: &Task) -> bool {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return false;
+        };
+        let Some(placement) = job.live.get_mut(&id.index) else {
+            return false;
+        };
+        if placement.machine != *machine || placement.attempt != task.attempt {
+            return false;
+        }
+        let first = !matches!(placement.stage, Stage::Up(_));
+        let ran = matches!(placement.stage, Stage::Up(TaskState::Running));
+        placement.stage = Stage::Up(task.state);
+        if first {
+            placement.since = now;
+            if let Some(leader) = self.leader_mut() {
+                leader.dirty = true;
+            }
+        }
+        if task.state == TaskState::Running && !ran {
+            self.note_image(machine, &id.job);
+        }
+        true
+    }
+
+    fn note_image(&mut self, machine: &MachineId, job: &JobId) {
+        let Some(spec) = self
+            .jobs
+            .get(job)
+            .map(|j| (j.spec.image.clone(), j.spec.image_gb))
+        else {
+            return;
+        };
+        let types = self.types.clone();
+        if let Some(machine) = self.leader_mut().and_then(|l| l.machines.get_mut(machine)) {
+            let cache = types
+                .and_then(|t| t.get(&machine.machine_type).map(|t| t.cache_gb))
+                .unwrap_or(0.0);
+            machine.use_image(&spec.0, spec.1, cache);
+        }
+    }
+
+    /// A task has left its machine and says why.
+    fn on_exited(&mut self, machine: &MachineId, id: &TaskId, task: &Task) {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let ours = job
+            .live
+            .get(&id.index)
+            .is_some_and(|p| p.machine == *machine && p.attempt == task.attempt);
+        if ours {
+            self.take_off(id);
+        } else if task.why != Some(Why::Done) || job.spec.kind != Kind::Array {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        match task.why {
+            Some(Why::Done) => {
+                job.failures = 0;
+                // A second attempt of a task that is done has nothing left to do.
+                if let Some(other) = job.live.get_mut(&id.index) {
+                    other.order_stop(0, now);
+                }
+                let over = job.complete(id.index);
+                let failed_on = std::mem::take(&mut job.failed_on);
+                if job.is_gang() && !job.live.is_empty() {
+                    // They complete together; what does not is stopped.
+                    job.stop_all(0, now);
+                }
+                self.blame(machine, failed_on);
+                if over {
+                    tracing::debug!(job = %id.job, "all tasks done");
+                }
+                if let Some(leader) = self.leader_mut() {
+                    leader.ends.note(&id.job, over);
+                }
+            }
+            Some(Why::Error) if ours => self.on_failure(machine, &id.job),
+            Some(Why::Unknown) if ours => {
+                self.slow_down(&id.job);
+                tracing::info!(task = %id, "the worker does not know the job");
+            }
+            Some(Why::NoRoom | Why::Busy) if ours => {
+                tracing::info!(task = %id, %machine, why = ?task.why, "start refused");
+            }
+            _ => {}
+        }
+        self.undo_gang(&id.job);
+        self.settle_job(&id.job);
+    }
+
+    /// Failures: the machine's fault or the job's? A job that succeeds elsewhere clears itself
+    /// and convicts the machine; a machine that several jobs fail on convicts itself.
+    fn on_failure(&mut self, machine: &MachineId, job: &JobId) {
+        self.slow_down(job);
+        if let Some(job) = self.jobs.get_mut(job) {
+            job.failed_on.insert(machine.clone());
+        }
+        tracing::info!(%machine, %job, "task failed");
+        let job = job.clone();
+        if let Some(m) = self.leader_mut().and_then(|l| l.machines.get_mut(machine)) {
+            m.failed_jobs.insert(job);
+            if m.failed_jobs.len() >= k::SICK_AFTER {
+                put_aside(m);
+            }
+        }
+    }
+
+    /// A job has completed a task on `good`: machines on which it failed are at fault.
+    fn blame(&mut self, good: &MachineId, failed_on: BTreeSet<MachineId>) {
+        let Some(leader) = self.leader_mut() else {
+            return;
+        };
+        if let Some(m) = leader.machines.get_mut(good) {
+            m.failed_jobs.clear();
+        }
+        for id in failed_on {
+            if let Some(m) = leader.machines.get_mut(&id).filter(|_| id != *good) {
+                put_aside(m);
+            }
+        }
+    }
+
+    fn slow_down(&mut self, job: &JobId) {
+        let now = self.now;
+        if let Some(job) = self.jobs.get_mut(job) {
+            job.failures += 1;
+            let pause = k::FAILED_FIRST_MS << (job.failures - 1).min(16);
+            job.not_before = now + pause.min(k::FAILED_MOST_MS);
+        }
+    }
+
+    /// Whether a task's end may be forgotten by the worker. Only a completion has to be on
+    /// record first: any other end just makes the task wait again, which is also what a new
+    /// leader concludes when the machine no longer names it.
+    fn end_is_durable(&self, id: &TaskId, task: &Task) -> bool {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return true;
+        };
+        if task.why != Some(Why::Done) {
+            return true;
+        }
+        match job.phase {
+            Phase::Open => !job.done.contains(id.index) || job.written.contains(id.index),
+            Phase::Done { written } => written,
+            Phase::Cancelled => true,
+        }
+    }
+
+    /// Tasks placed on the machine that its newest report does not name.
+    fn on_absent(&mut self, id: &MachineId, tally: Tally, named: &BTreeSet<(TaskId, u64)>) {
+        let Some(machine) = self.leader().and_then(|l| l.machines.get(id)) else {
+            return;
+        };
+        let missing: Vec<TaskId> = machine
+            .tasks
+            .iter()
+            .filter(|task| {
+                let placement = self
+                    .jobs
+                    .get(&task.job)
+                    .and_then(|j| j.live.get(&task.index));
+                placement.is_some_and(|p| !named.contains(&((*task).clone(), p.attempt)))
+            })
+            .cloned()
+            .collect();
+        for task in missing {
+            let Some(placement) = self
+                .jobs
+                .get(&task.job)
+                .and_then(|j| j.live.get(&task.index))
+            else {
+                continue;
+            };
+            let gone = match placement.stage {
+                Stage::Planned | Stage::Starting { sent: None, .. } => {
+                    placement.stop.is_some() && placement.stage != Stage::Planned
+                }
+                Stage::Starting {
+                    sent: Some(sent),
+                    resends,
+                } => {
+                    // Not there although the start was sent: lost on the way. It is sent again
+                    // unless that was tried often enough.
+                    sent < tally && (resends >= k::START_RESENDS || placement.stop.is_some())
+                }
+                Stage::Up(_) => true,
+            };
+            if gone {
+                tracing::debug!(%task, machine = %id, "task is no longer on its machine");
+                self.lose(&task);
+            }
+        }
+    }
+
+    /// Takes a task off its machine for good; without an end on record it waits again. The
+    /// rest of a gang is stopped with it: the undo of its round.
+    pub(super) fn lose(&mut self, id: &TaskId) {
+        self.take_off(id);
+        self.undo_gang(&id.job);
+        self.settle_job(&id.job);
+    }
+
+    /// One task of a gang gone, all go: the others are told at once, whatever they have noticed
+    /// themselves, with the grace to save.
+    fn undo_gang(&mut self, id: &JobId) {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.is_gang() && job.is_open() && job.live.values().any(|p| p.stop.is_none()) {
+            tracing::info!(job = %id, "gang lost a task, its round is undone");
+            job.stop_all(job.spec.grace_s(), now);
+            self.send_stops(id);
+        }
+    }
+
+    pub(super) fn take_off(&mut self, id: &TaskId) {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let Some(placement) = job.take_off(id.index) else {
+            return;
+        };
+        if let Some(leader) = self.leader_mut() {
+            leader.dirty = true;
+            if let Some(machine) = leader.machines.get_mut(&placement.machine) {
+                machine.tasks.remove(id);
+                machine.idle_since = now;
+            }
+        }
+    }
+
+    /// Starts and stops that this machine has to be told.
+    fn order_starts_and_stops(&mut self, id: &MachineId, tally: Tally, orders: &mut Vec<Order>) {
+        let confident = self.confident();
+        let Some(machine) = self.leader().and_then(|l| l.machines.get(id)) else {
+            return;
+        };
+        let starts = confident && machine.phase == MachinePhase::Up;
+        let tasks: Vec<TaskId> = machine.tasks.iter().cloned().collect();
+        for task in tasks {
+            let Some(job) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            let open = job.is_open();
+            let Some(placement) = job.live.get_mut(&task.index) else {
+                continue;
+            };
+            let (text, attempt) = (task.to_string(), placement.attempt);
+            if let Some(stop) = placement.stop {
+                orders.push(Order::Stop {
+                    task: text,
+                    attempt,
+                    grace_s: stop.grace_s,
+                });
+            } else if let Stage::Starting { sent, resends } = placement.stage {
+                if open && starts && resends < u32::MAX {
+                    let resends = if sent.is_some() { resends + 1 } else { 0 };
+                    placement.stage = Stage::Starting {
+                        sent: Some(tally),
+                        resends,
+                    };
+                    orders.push(Order::Start {
+                        task: text,
+                        attempt,
+                    });
+                }
+            }
+        }
+    }
+
+    /// Sends a job's stops directly, without waiting for the machines' reports.
+    pub(super) fn send_stops(&mut self, id: &JobId) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let Some(job) = self.jobs.get(id) else { return };
+        for (index, placement) in &job.live {
+            let Some(stop) = placement.stop else { continue };
+            let Some(machine) = leader.machines.get(&placement.machine) else {
+                continue;
+            };
+            let Some(addr) = machine.addr else { continue };
+            let order = Order::Stop {
+                task: TaskId {
+                    job: id.clone(),
+                    index: *index,
+                }
+                .to_string(),
+                attempt: placement.attempt,
+                grace_s: stop.grace_s,
+            };
+            self.out.push(super::Effect::Orders {
+                addr,
+                orders: DirectOrders {
+                    token: leader.term,
+                    session: machine.tally.session,
+                    orders: vec![order],
+                },
+            });
+        }
+    }
+
+    /// Removes a finished job from memory once nothing of it is left, and has its end written.
+    pub(super) fn settle_job(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let (phase, empty) = (job.phase, job.live.is_empty());
+        match phase {
+            Phase::Done { written: true } if empty => {
+                self.jobs.remove(id);
+            }
+            Phase::Done { written: false } => {
+                if let Some(leader) = self.leader_mut() {
+                    leader.ends.note(id, true);
+                }
+            }
+            Phase::Cancelled if empty => {
+                if let Some(leader) = self.leader_mut().filter(|l| l.loading.is_none()) {
+                    leader.ends.note(id, true);
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+fn put_aside(machine: &mut Machine) {
+    if !machine.aside {
+        tracing::info!(machine = %machine.id, "machine put aside: tasks fail on it");
+        machine.aside = true;
+    }
+}
--- /dev/null
+++ b/src/engine/rounds.rs
@@ -0,0 +1,407 @@
+//! Rounds: planned on the model, written as one conditional transaction, then sent.
+
+use super::records::{self, LEAD, RoundRecord};
+use super::{Engine, Op, Role};
+use crate::constants as k;
+use crate::model::{JobId, MachineId, Ms, Placement, Resources, Stage, TaskId};
+use crate::placement::{self, Candidate, Plan, Slot, Start, Teams};
+use crate::store::{StoreCall, StoreError, StoreReply};
+use crate::wire::store::Txn;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+pub(super) type Starts = Vec<(JobId, MachineId, Vec<u32>)>;
+
+#[derive(Debug, Default)]
+pub(super) struct Rounds {
+    /// Records in the state service, by number.
+    pub open: BTreeMap<u64, Starts>,
+    /// The round being written, repeated until its outcome is known.
+    writing: Option<Writing>,
+    count: u64,
+    keep_at: Ms,
+}
+
+#[derive(Debug)]
+struct Writing {
+    number: u64,
+    starts: Starts,
+    txn: Txn,
+    retry: super::Retry,
+}
+
+impl Engine {
+    pub(super) fn place_when_due(&mut self) {
+        let now = self.now;
+        let confident = self.confident();
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if let Some(writing) = &mut leader.rounds.writing {
+            if writing.retry.due(now) {
+                writing.retry.busy = true;
+                let txn = writing.txn.clone();
+                self.store(Op::Round, StoreCall::Commit(txn));
+            }
+            return;
+        }
+        if !leader.dirty || now < leader.place_at || !confident {
+            return;
+        }
+        leader.dirty = false;
+        leader.place_at = now + k::PLACE_EVERY_MS;
+        let most = k::ROUND_STARTS.min(self.settings.value_max() / k::START_BYTES);
+        let plan = self.plan(most);
+        self.write_round(plan.starts);
+        self.set_demand(plan.unplaced);
+    }
+
+    /// Plans on the model as it stands.
+    fn plan(&self, most: usize) -> Plan {
+        let mut teams = self.teams();
+        let mut slots = self.slots(|m| m.takes_tasks());
+        // A machine whose starts have not been reported is locked by their round.
+        slots.retain(|slot| !self.locked(&slot.id));
+        let mut candidates = self.candidates();
+        // The round's conditions name each job.
+        candidates.truncate(4 * self.settings.cluster.state.txn_ops - 2);
+        placement::plan(&candidates, &mut slots, &mut teams, most)
+    }
+
+    fn locked(&self, id: &MachineId) -> bool {
+        let Some(machine) = self.leader().and_then(|l| l.machines.get(id)) else {
+            return true;
+        };
+        machine.tasks.iter().any(|task| {
+            self.jobs
+                .get(&task.job)
+                .and_then(|job| job.live.get(&task.index))
+                .is_some_and(|p| !matches!(p.stage, Stage::Up(_)))
+        })
+    }
+
+    /// What teams use, counting every task that may be on a machine.
+    pub(super) fn teams(&self) -> Teams {
+        let mut teams = Teams::default();
+        for team in &self.settings.cluster.teams {
+            teams.limits.insert(team.name.as_str().into(), team.limit());
+        }
+        for job in self.jobs.values() {
+            *teams.used.entry(job.spec.team.clone()).or_default() += job.held();
+        }
+        teams
+    }
+
+    /// Machines with the room that is surely free.
+    pub(super) fn slots(&self, which: impl Fn(&crate::model::Machine) -> bool) -> Vec<Slot> {
+        let Some(leader) = self.leader() else {
+            return Vec::new();
+        };
+        leader
+            .machines
+            .values()
+            .filter(|machine| which(machine))
+            .filter_map(|machine| {
+                let size = self.machine_type(&machine.machine_type)?.size;
+                let mut used = Resources::default();
+                for task in &machine.tasks {
+                    if let Some(job) = self.jobs.get(&task.job) {
+                        used += job.spec.need;
+                    }
+                }
+                Some(Slot {
+                    id: machine.id.clone(),
+                    machine_type: machine.machine_type.clone(),
+                    zone: machine.zone.clone(),
+                    spot: machine.spot,
+                    size,
+                    room: size - used,
+                    images: machine
+                        .images
+                        .iter()
+                        .map(|(name, _)| name.clone())
+                        .collect(),
+                })
+            })
+            .collect()
+    }
+
+    /// Jobs that may start tasks now, in the order in which they are served.
+    pub(super) fn candidates(&self) -> Vec<Candidate<'_>> {
+        let guaranteed = self.guaranteed();
+        let strays: BTreeSet<&JobId> = self
+            .leader()
+            .into_iter()
+            .flat_map(|l| l.machines.values())
+            .flat_map(|m| m.strays.keys().map(|(task, _)| &task.job))
+            .collect();
+        let mut candidates: Vec<Candidate<'_>> = self
+            .jobs
+            .iter()
+            .filter(|(id, job)| {
+                job.is_open()
+                    && !job.pending.is_empty()
+                    && job.not_before <= self.now
+                    // No task of a job starts while a machine still has one that is unaccounted for.
+                    && !strays.contains(id)
+                    // A gang restarts only when its last attempt is surely gone.
+                    && (!job.is_gang() || job.live.is_empty())
+            })
+            .filter_map(|(id, job)| {
+                let zones = self.zones_of(job)?;
+                Some(Candidate {
+                    id,
+                    job,
+                    guaranteed: guaranteed.contains(id),
+                    zones,
+                })
+            })
+            .collect();
+        placement::order(&mut candidates);
+        candidates
+    }
+
+    /// The job's placed tasks by zone; `None` while a machine's zone is not known yet.
+    fn zones_of(&self, job: &crate::model::Job) -> Option<BTreeMap<Arc<str>, u32>> {
+        let leader = self.leader()?;
+        let mut zones = BTreeMap::new();
+        for placement in job.live.values() {
+            let zone = &leader.machines.get(&placement.machine)?.zone;
+            if zone.is_empty() && (job.spec.one_zone || job.spec.spread) {
+                return None;
+            }
+            *zones.entry(zone.clone()).or_insert(0) += 1;
+        }
+        Some(zones)
+    }
+
+    /// Jobs that fit into their team's guarantee together with the team's earlier ones.
+    pub(super) fn guaranteed(&self) -> BTreeSet<JobId> {
+        let mut open: Vec<_> = self.jobs.iter().filter(|(_, job)| job.is_open()).collect();
+        open.sort_by_key(|(id, job)| (job.submitted, *id));
+        let mut sums: BTreeMap<&str, Resources> = BTreeMap::new();
+        let mut within = BTreeSet::new();
+        for (id, job) in open {
+            let Some(team) = self.settings.team(&job.spec.team) else {
+                continue;
+            };
+            let sum = sums.entry(&job.spec.team).or_default();
+            *sum += job.spec.whole();
+            if team.guarantee().is_some() && team.guarantee().holds(*sum) {
+                within.insert(id.clone());
+            }
+        }
+        within
+    }
+
+    /// Locks the room on the model and has the round written.
+    fn write_round(&mut self, starts: Vec<Start>) {
+        if starts.is_empty() {
+            return;
+        }
+        let now = self.now;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        leader.rounds.count += 1;
+        let number = (leader.term << k::ROUND_BITS) | leader.rounds.count;
+        if leader.rounds.count >> k::ROUND_BITS != 0 {
+            return self.step_down("a new term is needed for more rounds");
+        }
+        let mut grouped: BTreeMap<(JobId, MachineId), Vec<u32>> = BTreeMap::new();
+        let key = records::round_key(number);
+        let mut txn = Txn::default().when(LEAD, leader.version).when(&key, 0);
+        for start in starts {
+            let Some(job) = self.jobs.get_mut(&start.job) else {
+                continue;
+            };
+            job.pending.remove(start.index);
+            let placement = Placement {
+                machine: start.machine.clone(),
+                attempt: number,
+                stage: Stage::Planned,
+                since: now,
+                stop: None,
+            };
+            job.live.insert(start.index, placement);
+            if let Some(machine) = leader.machines.get_mut(&start.machine) {
+                machine.tasks.insert(TaskId {
+                    job: start.job.clone(),
+                    index: start.index,
+                });
+            }
+            let job_key = records::job_key(&start.job.0);
+            // A cancellation that is durable before the round is makes the round fail.
+            if !txn.conditions.iter().any(|c| c.key == job_key) {
+                txn = txn.when(job_key, job.version);
+            }
+            grouped
+                .entry((start.job, start.machine))
+                .or_default()
+                .push(start.index);
+        }
+        let starts: Starts = grouped.into_iter().map(|((j, m), t)| (j, m, t)).collect();
+        let record = RoundRecord {
+            starts: starts
+                .iter()
+                .map(|(j, m, t)| (j.to_string(), m.to_string(), t.clone()))
+                .collect(),
+        };
+        txn = txn.put(key, records::value(&record));
+        let retry = super::Retry {
+            busy: true,
+            ..Default::default()
+        };
+        leader.rounds.writing = Some(Writing {
+            number,
+            starts,
+            txn: txn.clone(),
+            retry,
+        });
+        self.store(Op::Round, StoreCall::Commit(txn));
+    }
+
+    pub(super) fn on_round_written(&mut self, result: Result<StoreReply, StoreError>) {
+        let now = self.now;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some(writing) = &mut leader.rounds.writing else {
+            return;
+        };
+        let key = records::round_key(writing.number);
+        match result {
+            Ok(StoreReply::Committed { .. }) => self.start_round(),
+            Err(StoreError::Conflict(failed)) if failed.iter().any(|f| f == LEAD) => {
+                self.step_down("a commit found another leader");
+            }
+            // An earlier copy of this very transaction went through.
+            Err(StoreError::Conflict(failed)) if failed.contains(&key) => self.start_round(),
+            Err(StoreError::Conflict(failed)) => {
+                tracing::debug!(?failed, "round given up: its jobs have changed");
+                self.drop_round();
+            }
+            Err(StoreError::Bad(why)) => {
+                tracing::error!("round refused: {why}");
+                self.drop_round();
+            }
+            _ => writing.retry.failed(now, &mut self.rng),
+        }
+    }
+
+    /// The round is durable: its starts go out with the answers to the next reports.
+    fn start_round(&mut self) {
+        let now = self.now;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some(writing) = leader.rounds.writing.take() else {
+            return;
+        };
+        leader.dirty = true;
+        for (job, _, tasks) in &writing.starts {
+            let Some(job) = self.jobs.get_mut(job) else {
+                continue;
+            };
+            for index in tasks {
+                if let Some(p) = job
+                    .live
+                    .get_mut(index)
+                    .filter(|p| p.attempt == writing.number)
+                {
+                    p.stage = Stage::Starting {
+                        sent: None,
+                        resends: 0,
+                    };
+                    p.since = now;
+                }
+            }
+        }
+        tracing::debug!(
+            number = writing.number,
+            starts = writing.starts.len(),
+            "round written"
+        );
+        leader.rounds.open.insert(writing.number, writing.starts);
+    }
+
+    /// The round surely is not and will not be written: nothing of it was sent.
+    fn drop_round(&mut self) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some(writing) = leader.rounds.writing.take() else {
+            return;
+        };
+        for (job, _, tasks) in writing.starts {
+            for index in tasks {
+                let task = TaskId {
+                    job: job.clone(),
+                    index,
+                };
+                let ours = self
+                    .jobs
+                    .get(&task.job)
+                    .and_then(|j| j.live.get(&task.index))
+                    .is_some_and(|p| p.attempt == writing.number);
+                if ours {
+                    self.take_off(&task);
+                    self.settle_job(&task.job);
+                }
+            }
+        }
+    }
+
+    /// Undoes starts that stall, and has records of finished rounds removed.
+    pub(super) fn keep_rounds(&mut self) {
+        let now = self.now;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if now < leader.rounds.keep_at {
+            return;
+        }
+        leader.rounds.keep_at = now + k::UPKEEP_EVERY_MS;
+        let jobs = &self.jobs;
+        let over: Vec<u64> = leader
+            .rounds
+            .open
+            .iter()
+            .filter(|(number, starts)| {
+                !starts.iter().any(|(job, _, tasks)| {
+                    jobs.get(job).is_some_and(|job| {
+                        tasks.iter().any(|index| {
+                            job.live.get(index).is_some_and(|p| p.attempt == **number)
+                                || (job.done.contains(*index) && !job.written.contains(*index))
+                        })
+                    })
+                })
+            })
+            .map(|(number, _)| *number)
+            .collect();
+        for number in over {
+            leader.rounds.open.remove(&number);
+            leader.ends.remove(records::round_key(number));
+        }
+        // A start that was never sent, because its machine does not report, can be undone at
+        // once; one that was sent stays until the machine's answer proves where it is.
+        let stall = 3 * self.timing.report;
+        let mut stalled = Vec::new();
+        for (id, job) in &self.jobs {
+            for (index, p) in &job.live {
+                if matches!(p.stage, Stage::Starting { sent: None, .. })
+                    && (now.saturating_sub(p.since) > stall || p.stop.is_some())
+                {
+                    stalled.push(TaskId {
+                        job: id.clone(),
+                        index: *index,
+                    });
+                }
+            }
+        }
+        for task in stalled {
+            tracing::info!(%task, "start undone before it was sent");
+            self.lose(&task);
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,228 @@
+//! What to rent: a pure function from waiting tasks, expected room and offers to rentals.
+
+use crate::model::{Job, MachineType, Resources, Types};
+use crate::placement::{self, Slot};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// A type, zone and kind (spot or not) that can be asked for.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Offer {
+    pub machine_type: Arc<str>,
+    pub zone: Arc<str>,
+    pub spot: bool,
+}
+
+/// A job with tasks for which there is no room, and its placed tasks by zone.
+pub struct Waiting<'a> {
+    pub job: &'a Job,
+    pub tasks: u32,
+    pub zones: BTreeMap<Arc<str>, u32>,
+}
+
+/// Offers not refused a moment ago.
+pub fn offers(types: &Types, refused: &BTreeSet<Offer>, spot: bool) -> Vec<Offer> {
+    let mut offers = Vec::new();
+    for t in types.values() {
+        for zone in &t.zones {
+            for spot in [false, true].into_iter().filter(|s| spot || !s) {
+                let offer = Offer {
+                    machine_type: t.name.clone(),
+                    zone: zone.clone(),
+                    spot,
+                };
+                if !refused.contains(&offer) {
+                    offers.push(offer);
+                }
+            }
+        }
+    }
+    offers
+}
+
+/// How many machines of each offer to rent, at most `most` in all, so that the waiting tasks
+/// find room, given the room of machines that are up or expected.
+pub fn wanted(
+    waiting: &[Waiting<'_>],
+    mut slots: Vec<Slot>,
+    types: &Types,
+    offers: &[Offer],
+    most: u64,
+) -> BTreeMap<Offer, u64> {
+    let known = slots.len();
+    for one in waiting {
+        if one.job.spec.one_zone {
+            // Each zone is tried as a whole; the one that costs least more is kept.
+            let zones: BTreeSet<&Arc<str>> = slots
+                .iter()
+                .map(|s| &s.zone)
+                .chain(offers.iter().map(|o| &o.zone))
+                .collect();
+            let tries = zones.into_iter().filter_map(|zone| {
+                let offers: Vec<Offer> =
+                    offers.iter().filter(|o| o.zone == *zone).cloned().collect();
+                let mut trial = slots.clone();
+                for slot in trial.iter_mut().filter(|s| s.zone != *zone) {
+                    slot.room = Resources::default();
+                }
+                let all = fit(one, &mut trial, types, &offers) == one.tasks;
+                all.then(|| (cost(&trial[slots.len()..], types), zone.clone(), trial))
+            });
+            let best = tries.min_by(|a, b| a.0.total_cmp(&b.0));
+            if let Some((_, zone, trial)) = best {
+                for (at, slot) in trial.into_iter().enumerate() {
+                    if at >= slots.len() {
+                        slots.push(slot);
+                    } else if slot.zone == zone {
+                        slots[at] = slot;
+                    }
+                }
+            }
+        } else {
+            fit(one, &mut slots, types, offers);
+        }
+    }
+    let mut counts = BTreeMap::new();
+    for slot in slots.into_iter().skip(known).take(most as usize) {
+        let offer = Offer {
+            machine_type: slot.machine_type,
+            zone: slot.zone,
+            spot: slot.spot,
+        };
+        *counts.entry(offer).or_insert(0) += 1;
+    }
+    counts
+}
+
+fn cost(slots: &[Slot], types: &Types) -> f64 {
+    slots
+        .iter()
+        .filter_map(|s| Some(types.get(&s.machine_type)?.price_of(s.spot)))
+        .sum()
+}
+
+/// Fits tasks into `slots`, adding new ones; returns how many found room.
+fn fit(one: &Waiting<'_>, slots: &mut Vec<Slot>, types: &Types, offers: &[Offer]) -> u32 {
+    let spec = &one.job.spec;
+    let mut zones = one.zones.clone();
+    for done in 0..one.tasks {
+        let at = match placement::best(spec, &zones, slots) {
+            Some(at) => at,
+            None => {
+                let Some(slot) = cheapest(one, &zones, types, offers) else {
+                    return done;
+                };
+                slots.push(slot);
+                slots.len() - 1
+            }
+        };
+        slots[at].room = slots[at].room - spec.need;
+        *zones.entry(slots[at].zone.clone()).or_insert(0) += 1;
+    }
+    one.tasks
+}
+
+/// A new machine of the offer on which one task's share costs least.
+fn cheapest(
+    one: &Waiting<'_>,
+    zones: &BTreeMap<Arc<str>, u32>,
+    types: &Types,
+    offers: &[Offer],
+) -> Option<Slot> {
+    let spec = &one.job.spec;
+    let share_price =
+        |t: &MachineType, spot| t.price_of(spot) * spec.need.share_of(t.size).max(1) as f64;
+    offers
+        .iter()
+        .filter(|o| {
+            placement::allowed(spec, &o.machine_type, &o.zone, o.spot)
+                && placement::zone_allows(spec, zones, &o.zone)
+        })
+        .filter_map(|o| {
+            let t = types.get(&o.machine_type)?;
+            spec.need
+                .fits_in(t.size)
+                .then(|| (share_price(t, o.spot), o, t.size))
+        })
+        .min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)))
+        .map(|(_, o, size)| Slot {
+            id: "".into(),
+            machine_type: o.machine_type.clone(),
+            zone: o.zone.clone(),
+            spot: o.spot,
+            size,
+            room: size,
+            images: Vec::new(),
+        })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::model::{Phase, Spec};
+    use crate::wire::user::{Kind, tests::job as wire_job};
+
+    fn types() -> Types {
+        let one = |name: &str, gpus: f64, price: f64| MachineType {
+            name: name.into(),
+            size: Resources::capacity(64.0, gpus, 512.0),
+            cache_gb: 100.0,
+            fetch_gb_per_s: 0.2,
+            price,
+            spot_price: price / 3.0,
+            boot_ms: 30_000,
+            zones: vec!["east".into(), "west".into()],
+        };
+        [one("big", 8.0, 8.0), one("small", 2.0, 4.0)]
+            .into_iter()
+            .map(|t| (t.name.clone(), t))
+            .collect()
+    }
+
+    fn want(
+        kind: Kind,
+        tasks: u32,
+        refused: &[Offer],
+        change: impl Fn(&mut crate::wire::user::Job),
+    ) -> Vec<(Offer, u64)> {
+        let mut wire = wire_job("run-1", kind, tasks.into());
+        change(&mut wire);
+        let job = Job::new(Spec::read(&wire), 1, 0, Phase::Open, 0);
+        let types = types();
+        let offers = offers(&types, &refused.iter().cloned().collect(), true);
+        let waiting = [Waiting {
+            job: &job,
+            tasks,
+            zones: BTreeMap::new(),
+        }];
+        wanted(&waiting, Vec::new(), &types, &offers, 50)
+            .into_iter()
+            .collect()
+    }
+
+    #[test]
+    fn the_cheapest_share_is_rented_and_filled() {
+        let got = want(Kind::Array, 9, &[], |_| {});
+        assert_eq!(got.len(), 1);
+        assert_eq!(
+            (&*got[0].0.machine_type, got[0].0.spot, got[0].1),
+            ("big", false, 2)
+        );
+        let got = want(Kind::Array, 1, &[], |j| j.spot = true);
+        assert!(got[0].0.spot);
+    }
+
+    #[test]
+    fn refused_offers_are_passed_over_and_gangs_stay_in_one_zone() {
+        let big_east = Offer {
+            machine_type: "big".into(),
+            zone: "east".into(),
+            spot: false,
+        };
+        let got = want(Kind::Gang, 12, &[big_east], |j| j.one_zone = true);
+        assert_eq!(got.len(), 1);
+        assert_eq!((&*got[0].0.zone, got[0].1), ("west", 2));
+        let got = want(Kind::Service, 4, &[], |j| j.spread = true);
+        assert_eq!(got.len(), 2, "a spread service needs both zones");
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,20 @@
+//! umbervale: a cluster scheduler. Three controller processes accept users' jobs, rent machines
+//! from a cloud, place tasks on workers, and keep all state in a small key-value service.
+//!
+//! The design, and the argument for its safety, are in `docs/design.md`.
+
+pub mod api;
+pub mod cloud;
+pub mod constants;
+pub mod engine;
+pub mod fleet;
+pub mod http;
+pub mod model;
+pub mod node;
+pub mod peer;
+pub mod placement;
+pub mod settings;
+pub mod store;
+pub mod tokens;
+pub mod wire;
+pub mod workers;
--- /dev/null
+++ b/src/model/machine.rs
@@ -0,0 +1,99 @@
+//! A rented machine as this leader knows it.
+
+use super::{JobId, MachineId, Ms, TaskId};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+/// Orders a machine's messages: a larger one is newer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Tally {
+    pub session: u64,
+    pub seq: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MachinePhase {
+    /// Rented or listed; no report with our token yet.
+    Booting,
+    /// Reports to us and has confirmed our token.
+    Up,
+    /// A return is asked for or under way; takes nothing.
+    Returning,
+}
+
+#[derive(Debug, Clone)]
+pub struct Machine {
+    pub id: MachineId,
+    pub addr: Option<std::net::SocketAddr>,
+    pub machine_type: Arc<str>,
+    pub zone: Arc<str>,
+    pub spot: bool,
+    pub phase: MachinePhase,
+    /// When it was rented, as far as known.
+    pub rented: Ms,
+    /// When we last heard of it (or learnt of it).
+    pub seen: Ms,
+    pub tally: Tally,
+    /// When the cloud takes it away.
+    pub taken_at: Option<Ms>,
+    /// Tasks placed on it.
+    pub tasks: BTreeSet<TaskId>,
+    /// Tasks it reports that are not placed there, with their attempts: they are being stopped.
+    pub strays: BTreeMap<(TaskId, u64), ()>,
+    /// Images it has, most recently used last.
+    pub images: VecDeque<(Arc<str>, f64)>,
+    /// Jobs whose tasks failed here since a task last completed.
+    pub failed_jobs: BTreeSet<JobId>,
+    /// Put aside for failing or for being slow.
+    pub aside: bool,
+    /// A return call is in flight.
+    pub return_sent: bool,
+    /// Since when it holds nothing.
+    pub idle_since: Ms,
+}
+
+impl Machine {
+    pub fn new(id: MachineId, machine_type: Arc<str>, zone: Arc<str>, spot: bool, now: Ms) -> Self {
+        Machine {
+            id,
+            addr: None,
+            machine_type,
+            zone,
+            spot,
+            phase: MachinePhase::Booting,
+            rented: now,
+            seen: now,
+            tally: Tally::default(),
+            taken_at: None,
+            tasks: BTreeSet::new(),
+            strays: BTreeMap::new(),
+            images: VecDeque::new(),
+            failed_jobs: BTreeSet::new(),
+            aside: false,
+            return_sent: false,
+            idle_since: now,
+        }
+    }
+
+    pub fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|(name, _)| &**name == image)
+    }
+
+    /// Notes that the machine has used an image; drops the least recently used past its cache.
+    pub fn use_image(&mut self, image: &Arc<str>, gb: f64, cache_gb: f64) {
+        self.images.retain(|(name, _)| name != image);
+        self.images.push_back((image.clone(), gb));
+        let mut total: f64 = self.images.iter().map(|(_, gb)| gb).sum();
+        while total > cache_gb && self.images.len() > 1 {
+            total -= self.images.pop_front().map_or(0.0, |(_, gb)| gb);
+        }
+    }
+
+    /// Whether it takes new tasks, apart from room.
+    pub fn takes_tasks(&self) -> bool {
+        self.phase == MachinePhase::Up
+            && !self.aside
+            && self.taken_at.is_none()
+            && self.strays.is_empty()
+    }
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,260 @@
+//! A running controller node: the engine's queue, and the tasks that carry out its effects.
+
+use crate::api::{Api, LimitedListener};
+use crate::cloud::CloudClient;
+use crate::constants as k;
+use crate::engine::{Command, Effect, Engine, Reply, ReplyId, View};
+use crate::http::HttpClient;
+use crate::peer::{Announcement, Link, Message, read_frame, write_frame};
+use crate::settings::Settings;
+use crate::store::{StoreClient, Urgency};
+use crate::workers::WorkerClient;
+use std::collections::HashMap;
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
+use tokio::time::Instant;
+
+/// Time of day, ms.
+pub fn wall_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |t| t.as_millis() as u64)
+}
+
+type Input = (Command, Option<(ReplyId, oneshot::Sender<Reply>)>);
+
+/// The way to the engine: a bounded queue.
+#[derive(Clone)]
+pub struct Commands {
+    queue: mpsc::Sender<Input>,
+    replies: Arc<AtomicU64>,
+}
+
+impl Commands {
+    fn new() -> (Self, mpsc::Receiver<Input>) {
+        let (queue, inputs) = mpsc::channel(k::ENGINE_QUEUE);
+        (
+            Commands {
+                queue,
+                replies: Arc::new(AtomicU64::new(0)),
+            },
+            inputs,
+        )
+    }
+
+    /// Sends a command that is answered; `None` if the queue is full or the engine gone.
+    pub async fn ask(&self, command: impl FnOnce(ReplyId) -> Command) -> Option<Reply> {
+        let id = self.replies.fetch_add(1, Ordering::Relaxed);
+        let (tell, told) = oneshot::channel();
+        self.queue.try_send((command(id), Some((id, tell)))).ok()?;
+        told.await.ok()
+    }
+
+    /// Sends a command that must not be lost: waits for room.
+    async fn send(&self, command: Command) {
+        // The engine ends only with the process.
+        let _ = self.queue.send((command, None)).await;
+    }
+}
+
+/// Runs a node until an error on its listeners.
+pub async fn run(settings: Settings) -> io::Result<()> {
+    let settings = Arc::new(settings);
+    let front = TcpListener::bind(settings.front).await?;
+    let back = TcpListener::bind(settings.back).await?;
+    tracing::info!(node = settings.node, zone = settings.zone, "starting");
+    let http = HttpClient::default();
+    let store = Arc::new(StoreClient::new(http.clone(), &settings));
+    let cloud = Arc::new(CloudClient::new(http.clone(), &settings));
+    let workers = WorkerClient::new(http);
+    let (commands, inputs) = Commands::new();
+    let (show, view) = watch::channel(View::default());
+    let link = |p: &crate::settings::Peer| Link::new(p.node.clone(), p.addr);
+    let peers: Arc<Vec<Link>> = Arc::new(settings.peers.iter().map(link).collect());
+    let seed = rand::random();
+    tracing::debug!(seed, "engine");
+    let engine = Engine::new(settings.clone(), seed);
+    let driver = Driver {
+        store: store.clone(),
+        cloud,
+        workers,
+        commands: commands.clone(),
+    };
+    tokio::spawn(driver.run(engine, inputs, show));
+    for at in 0..peers.len() {
+        tokio::spawn(announce(
+            settings.node.clone(),
+            peers.clone(),
+            at,
+            view.clone(),
+            commands.clone(),
+        ));
+    }
+    tokio::spawn(serve_peers(
+        settings.node.clone(),
+        back,
+        view.clone(),
+        commands.clone(),
+    ));
+    let connections = settings.front_connections();
+    let api = Api::new(settings, store, commands, view, peers);
+    axum::serve(LimitedListener::new(front, connections), api.router()).await
+}
+
+struct Driver {
+    store: Arc<StoreClient>,
+    cloud: Arc<CloudClient>,
+    workers: WorkerClient,
+    commands: Commands,
+}
+
+impl Driver {
+    async fn run(
+        self,
+        mut engine: Engine,
+        mut inputs: mpsc::Receiver<Input>,
+        show: watch::Sender<View>,
+    ) {
+        let started = Instant::now();
+        let mut waiting: HashMap<ReplyId, oneshot::Sender<Reply>> = HashMap::new();
+        let mut batch = Vec::with_capacity(k::ENGINE_BATCH);
+        loop {
+            // Either commands or the heartbeat; `recv_many` loses nothing when dropped.
+            let _ =
+                tokio::time::timeout(k::TICK, inputs.recv_many(&mut batch, k::ENGINE_BATCH)).await;
+            let mut commands = Vec::with_capacity(batch.len());
+            for (command, tell) in batch.drain(..) {
+                if let Some((id, tell)) = tell {
+                    waiting.insert(id, tell);
+                }
+                commands.push(command);
+            }
+            let now = started.elapsed().as_millis() as u64;
+            for effect in engine.step(now, wall_ms(), commands) {
+                self.carry_out(effect, &mut waiting);
+            }
+            show.send_replace(engine.view());
+        }
+    }
+
+    fn carry_out(&self, effect: Effect, waiting: &mut HashMap<ReplyId, oneshot::Sender<Reply>>) {
+        match effect {
+            Effect::Reply { to, reply } => {
+                if let Some(tell) = waiting.remove(&to) {
+                    // The asker may have gone away.
+                    let _ = tell.send(reply);
+                }
+            }
+            Effect::Store { op, call, urgent } => {
+                let (store, commands) = (self.store.clone(), self.commands.clone());
+                let urgency = if urgent {
+                    Urgency::Lease
+                } else {
+                    Urgency::Engine
+                };
+                tokio::spawn(async move {
+                    let result = store.call(&call, urgency).await;
+                    commands.send(Command::StoreDone { op, result }).await;
+                });
+            }
+            Effect::Cloud { op, call } => {
+                let (cloud, commands) = (self.cloud.clone(), self.commands.clone());
+                tokio::spawn(async move {
+                    let result = cloud.call(&call).await;
+                    commands.send(Command::CloudDone { op, result }).await;
+                });
+            }
+            Effect::Orders { addr, orders } => self.workers.send(addr, orders),
+        }
+    }
+}
+
+fn announcement(node: &str, view: &watch::Receiver<View>) -> Message {
+    let view = view.borrow();
+    Message::Announce(Announcement {
+        node: node.to_owned(),
+        term: view.term,
+        store_ok: view.store_ok,
+    })
+}
+
+/// Tells one peer about this node, again and again, and hears about the peer.
+async fn announce(
+    node: String,
+    peers: Arc<Vec<Link>>,
+    at: usize,
+    view: watch::Receiver<View>,
+    commands: Commands,
+) {
+    let mut every = tokio::time::interval(k::PEER_EVERY);
+    every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        every.tick().await;
+        match peers[at].exchange(&announcement(&node, &view)).await {
+            Ok(Message::Announce(said)) => commands.send(Command::Announced(said)).await,
+            Ok(_) => {}
+            Err(e) => tracing::debug!(peer = peers[at].node, "peer: {e}"),
+        }
+    }
+}
+
+async fn serve_peers(
+    node: String,
+    back: TcpListener,
+    view: watch::Receiver<View>,
+    commands: Commands,
+) {
+    let slots = Arc::new(Semaphore::new(k::PEER_CONNECTIONS));
+    loop {
+        let Ok(slot) = slots.clone().acquire_owned().await else {
+            return;
+        };
+        let Ok((stream, addr)) = back.accept().await else {
+            tokio::time::sleep(k::PEER_EVERY).await;
+            continue;
+        };
+        let (node, view, commands) = (node.clone(), view.clone(), commands.clone());
+        tokio::spawn(async move {
+            if let Err(e) = serve_peer(&node, stream, &view, &commands).await {
+                tracing::debug!(%addr, "peer connection closed: {e}");
+            }
+            drop(slot);
+        });
+    }
+}
+
+async fn serve_peer(
+    node: &str,
+    mut stream: TcpStream,
+    view: &watch::Receiver<View>,
+    commands: &Commands,
+) -> Result<(), crate::peer::PeerError> {
+    stream.set_nodelay(true)?;
+    loop {
+        // A peer that has been silent for several announcements is gone or cut off.
+        let message = tokio::time::timeout(10 * k::PEER_EVERY, read_frame(&mut stream))
+            .await
+            .unwrap_or(Err(crate::peer::PeerError::Timeout))?;
+        let answer = match message {
+            Message::Announce(said) => {
+                commands.send(Command::Announced(said)).await;
+                announcement(node, view)
+            }
+            Message::Count { job } => {
+                let count = |reply| Command::Count {
+                    job: (&*job).into(),
+                    reply,
+                };
+                match commands.ask(count).await {
+                    Some(Reply::Counts { done, running }) => Message::Counts { done, running },
+                    _ => Message::Nothing,
+                }
+            }
+            Message::Counts { .. } | Message::Nothing => Message::Nothing,
+        };
+        write_frame(&mut stream, &answer).await?;
+    }
+}
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,163 @@
+//! Controller nodes <-> controller nodes: small frames, one answer to each.
+//!
+//! A frame is its length (four bytes, big-endian), the version, and a postcard message. Nothing
+//! here decides anything on its own: what a peer says makes a superseded leader give way
+//! sooner, and fills in numbers for display.
+
+use crate::constants as k;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
+
+/// What a node says of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announcement {
+    pub node: String,
+    /// The term it leads with; 0 if it does not lead.
+    pub term: u64,
+    /// The state service has answered it lately.
+    pub store_ok: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Answered with the other's announcement.
+    Announce(Announcement),
+    /// Where a job's tasks stand, answered with [`Message::Counts`].
+    Count {
+        job: String,
+    },
+    Counts {
+        done: u64,
+        running: u64,
+    },
+    /// The answer to what can't be answered.
+    Nothing,
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum PeerError {
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+    #[error("frame of {0} bytes")]
+    Length(usize),
+    #[error("version {0}, expected {expected}", expected = k::PEER_VERSION)]
+    Version(u8),
+    #[error("undecodable frame: {0}")]
+    Decode(#[from] postcard::Error),
+    #[error("no answer in time")]
+    Timeout,
+}
+
+pub async fn read_frame(stream: &mut TcpStream) -> Result<Message, PeerError> {
+    let length = stream.read_u32().await? as usize;
+    if length == 0 || length > k::PEER_FRAME_MAX {
+        return Err(PeerError::Length(length));
+    }
+    let mut frame = vec![0; length];
+    stream.read_exact(&mut frame).await?;
+    if frame[0] != k::PEER_VERSION {
+        return Err(PeerError::Version(frame[0]));
+    }
+    Ok(postcard::from_bytes(&frame[1..])?)
+}
+
+pub async fn write_frame(stream: &mut TcpStream, message: &Message) -> Result<(), PeerError> {
+    let body = postcard::to_stdvec(message)?;
+    let length = body.len() + 1;
+    if length > k::PEER_FRAME_MAX {
+        return Err(PeerError::Length(length));
+    }
+    let mut frame = Vec::with_capacity(length + 4);
+    frame.extend_from_slice(&(length as u32).to_be_bytes());
+    frame.push(k::PEER_VERSION);
+    frame.extend_from_slice(&body);
+    stream.write_all(&frame).await?;
+    Ok(())
+}
+
+/// The one connection kept to a peer.
+pub struct Link {
+    pub node: String,
+    addr: SocketAddr,
+    stream: Mutex<Option<TcpStream>>,
+}
+
+impl Link {
+    pub fn new(node: String, addr: SocketAddr) -> Self {
+        Link {
+            node,
+            addr,
+            stream: Mutex::new(None),
+        }
+    }
+
+    /// Sends a message and waits for its answer. After any failure the connection is dropped,
+    /// so that a late answer is never taken for another's.
+    pub async fn exchange(&self, message: &Message) -> Result<Message, PeerError> {
+        let work = async {
+            let mut slot = self.stream.lock().await;
+            let mut stream = match slot.take() {
+                Some(stream) => stream,
+                None => {
+                    let stream = TcpStream::connect(self.addr).await?;
+                    stream.set_nodelay(true)?;
+                    stream
+                }
+            };
+            write_frame(&mut stream, message).await?;
+            let answer = read_frame(&mut stream).await?;
+            *slot = Some(stream);
+            Ok(answer)
+        };
+        tokio::time::timeout(k::PEER_TIMEOUT, work)
+            .await
+            .unwrap_or(Err(PeerError::Timeout))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::net::TcpListener;
+
+    async fn pair() -> (TcpStream, TcpStream) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (a, b) = tokio::join!(TcpStream::connect(addr), listener.accept());
+        (a.unwrap(), b.unwrap().0)
+    }
+
+    #[tokio::test]
+    async fn frames_are_versioned_and_bounded() {
+        let (mut a, mut b) = pair().await;
+        let said = Message::Announce(Announcement {
+            node: "n1".into(),
+            term: 7,
+            store_ok: true,
+        });
+        write_frame(&mut a, &said).await.unwrap();
+        assert_eq!(read_frame(&mut b).await.unwrap(), said);
+        a.write_all(&[0, 0, 0, 2, k::PEER_VERSION + 1, 0])
+            .await
+            .unwrap();
+        assert!(matches!(
+            read_frame(&mut b).await,
+            Err(PeerError::Version(_))
+        ));
+        a.write_all(&[0, 0, 0, 2, k::PEER_VERSION, 99])
+            .await
+            .unwrap();
+        assert!(matches!(
+            read_frame(&mut b).await,
+            Err(PeerError::Decode(_))
+        ));
+        a.write_all(&u32::MAX.to_be_bytes()).await.unwrap();
+        assert!(matches!(
+            read_frame(&mut b).await,
+            Err(PeerError::Length(_))
+        ));
+    }
+}
--- /dev/null
+++ b/src/placement/mod.rs
@@ -0,0 +1,385 @@
+//! From the model to a round: pure functions.
+//!
+//! Jobs are taken by priority, then those within their team's guarantee, then by submission.
+//! Each task goes to the fitting machine that is left fullest, within the rules on types,
+//! zones and kinds of machine and the team's limit.
+
+use crate::model::{Job, JobId, MachineId, Resources, Spec};
+use crate::settings::Limit;
+use crate::wire::user::Kind;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// A machine, real or expected, with its room.
+#[derive(Debug, Clone)]
+pub struct Slot {
+    pub id: MachineId,
+    pub machine_type: Arc<str>,
+    pub zone: Arc<str>,
+    pub spot: bool,
+    pub size: Resources,
+    pub room: Resources,
+    pub images: Vec<Arc<str>>,
+}
+
+/// A job that may start tasks.
+#[derive(Debug)]
+pub struct Candidate<'a> {
+    pub id: &'a JobId,
+    pub job: &'a Job,
+    /// Fits into its team's guarantee together with the team's earlier unfinished jobs.
+    pub guaranteed: bool,
+    /// Its placed tasks by zone.
+    pub zones: BTreeMap<Arc<str>, u32>,
+}
+
+/// What each team uses and may use.
+#[derive(Debug, Clone, Default)]
+pub struct Teams {
+    pub used: BTreeMap<Arc<str>, Resources>,
+    pub limits: BTreeMap<Arc<str>, Limit>,
+}
+
+impl Teams {
+    fn used(&self, team: &str) -> Resources {
+        self.used.get(team).copied().unwrap_or_default()
+    }
+
+    /// Takes `need` for the team if its limit allows.
+    fn take(&mut self, team: &Arc<str>, need: Resources) -> bool {
+        let used = self.used(team) + need;
+        let allowed = self.limits.get(team).is_some_and(|limit| limit.holds(used));
+        if allowed {
+            self.used.insert(team.clone(), used);
+        }
+        allowed
+    }
+
+    fn give_back(&mut self, team: &Arc<str>, need: Resources) {
+        let used = self.used(team) - need;
+        self.used.insert(team.clone(), used);
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Start {
+    pub job: JobId,
+    pub index: u32,
+    pub machine: MachineId,
+}
+
+/// Tasks that the team's limit would allow but for which there is no room.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unplaced {
+    pub job: JobId,
+    pub tasks: u32,
+}
+
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Plan {
+    pub starts: Vec<Start>,
+    pub unplaced: Vec<Unplaced>,
+}
+
+/// Orders jobs: who is served first.
+pub fn order(candidates: &mut [Candidate<'_>]) {
+    candidates.sort_by(|a, b| {
+        let key = |c: &Candidate<'_>| (c.job.spec.priority, c.guaranteed);
+        key(b)
+            .cmp(&key(a))
+            .then_with(|| (a.job.submitted, a.id).cmp(&(b.job.submitted, b.id)))
+    });
+}
+
+/// Whether the job may use this machine's type, zone and kind at all.
+pub fn allowed(spec: &Spec, machine_type: &Arc<str>, zone: &Arc<str>, spot: bool) -> bool {
+    (!spot || spec.spot)
+        && spec
+            .types
+            .as_ref()
+            .is_none_or(|types| types.contains(machine_type))
+        && spec.zone.as_ref().is_none_or(|only| only == zone)
+}
+
+/// Whether one more task may be in `zone`, given the job's tasks by zone.
+pub fn zone_allows(spec: &Spec, zones: &BTreeMap<Arc<str>, u32>, zone: &Arc<str>) -> bool {
+    let here = zones.get(zone).copied().unwrap_or(0);
+    let elsewhere = zones.iter().any(|(z, n)| z != zone && *n > 0);
+    !(spec.one_zone && elsewhere) && here < spec.zone_most()
+}
+
+/// Plans a round of at most `most` starts; changes `slots` and `teams` to what is left.
+pub fn plan(
+    candidates: &[Candidate<'_>],
+    slots: &mut [Slot],
+    teams: &mut Teams,
+    most: usize,
+) -> Plan {
+    let mut plan = Plan::default();
+    for candidate in candidates {
+        let Candidate { id, job, zones, .. } = candidate;
+        let left = most.saturating_sub(plan.starts.len());
+        if job.spec.kind == Kind::Gang {
+            plan_gang(id, job, slots, teams, left, &mut plan);
+        } else {
+            plan_tasks(id, job, zones.clone(), slots, teams, left, &mut plan);
+        }
+    }
+    plan
+}
+
+fn plan_tasks(
+    id: &JobId,
+    job: &Job,
+    mut zones: BTreeMap<Arc<str>, u32>,
+    slots: &mut [Slot],
+    teams: &mut Teams,
+    left: usize,
+    plan: &mut Plan,
+) {
+    let spec = &job.spec;
+    let mut placed = 0;
+    let mut unplaced = 0;
+    for index in job.pending.iter() {
+        if !teams.take(&spec.team, spec.need) {
+            break;
+        }
+        // One that finds no room means that none of the job's later ones does: they are alike.
+        let slot = if unplaced > 0 || placed >= left {
+            None
+        } else {
+            best(spec, &zones, slots)
+        };
+        match slot {
+            Some(at) => {
+                slots[at].room = slots[at].room - spec.need;
+                *zones.entry(slots[at].zone.clone()).or_insert(0) += 1;
+                plan.starts.push(Start {
+                    job: id.clone(),
+                    index,
+                    machine: slots[at].id.clone(),
+                });
+                placed += 1;
+            }
+            None => unplaced += 1,
+        }
+        // No need to know by how much a huge array exceeds any fleet.
+        if unplaced >= crate::constants::UNPLACED_MOST {
+            break;
+        }
+    }
+    if unplaced > 0 {
+        teams.give_back(&spec.team, spec.need.times(u64::from(unplaced)));
+        plan.unplaced.push(Unplaced {
+            job: id.clone(),
+            tasks: unplaced,
+        });
+    }
+}
+
+/// All tasks of a gang or none.
+fn plan_gang(
+    id: &JobId,
+    job: &Job,
+    slots: &mut [Slot],
+    teams: &mut Teams,
+    left: usize,
+    plan: &mut Plan,
+) {
+    let spec = &job.spec;
+    if !teams.take(&spec.team, spec.whole()) {
+        return;
+    }
+    let tasks = spec.tasks as usize;
+    let places = if tasks > left {
+        None
+    } else {
+        gang_places(spec, slots)
+    };
+    match places {
+        Some(places) => {
+            for (index, at) in (0..).zip(places) {
+                slots[at].room = slots[at].room - spec.need;
+                plan.starts.push(Start {
+                    job: id.clone(),
+                    index,
+                    machine: slots[at].id.clone(),
+                });
+            }
+        }
+        None => {
+            teams.give_back(&spec.team, spec.whole());
+            plan.unplaced.push(Unplaced {
+                job: id.clone(),
+                tasks: spec.tasks,
+            });
+        }
+    }
+}
+
+/// Places for all tasks of a gang, in one zone if it asks for that.
+fn gang_places(spec: &Spec, slots: &[Slot]) -> Option<Vec<usize>> {
+    let try_in = |only: Option<&Arc<str>>| -> Option<Vec<usize>> {
+        let mut rooms: Vec<Slot> = slots.to_vec();
+        let mut zones = BTreeMap::new();
+        let mut places = Vec::new();
+        if let Some(zone) = only {
+            for slot in &mut rooms {
+                if slot.zone != *zone {
+                    slot.room = Resources::default();
+                }
+            }
+        }
+        for _ in 0..spec.tasks {
+            let at = best(spec, &zones, &rooms)?;
+            rooms[at].room = rooms[at].room - spec.need;
+            *zones.entry(rooms[at].zone.clone()).or_insert(0) += 1;
+            places.push(at);
+        }
+        Some(places)
+    };
+    if !spec.one_zone {
+        return try_in(None);
+    }
+    let zones: std::collections::BTreeSet<&Arc<str>> = slots.iter().map(|s| &s.zone).collect();
+    zones
+        .into_iter()
+        .filter_map(|zone| try_in(Some(zone)))
+        .min_by_key(|places| {
+            let left: u64 = places
+                .iter()
+                .map(|at| {
+                    1000 - (slots[*at].size - slots[*at].room)
+                        .share_of(slots[*at].size)
+                        .min(1000)
+                })
+                .sum();
+            left
+        })
+}
+
+/// The fitting slot that is left fullest.
+pub fn best(spec: &Spec, zones: &BTreeMap<Arc<str>, u32>, slots: &[Slot]) -> Option<usize> {
+    slots
+        .iter()
+        .enumerate()
+        .filter(|(_, slot)| {
+            spec.need.fits_in(slot.room)
+                && allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
+                && zone_allows(spec, zones, &slot.zone)
+        })
+        .min_by_key(|(at, slot)| {
+            let full = (slot.size - slot.room + spec.need).share_of(slot.size);
+            let cached = slot.images.contains(&spec.image);
+            (std::cmp::Reverse(full), !cached, *at)
+        })
+        .map(|(at, _)| at)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::model::Phase;
+    use crate::wire::user::tests::job as wire_job;
+
+    pub fn slot(id: &str, zone: &str, gpus: f64) -> Slot {
+        let size = Resources::capacity(64.0, gpus, 512.0);
+        Slot {
+            id: id.into(),
+            machine_type: "g8".into(),
+            zone: zone.into(),
+            spot: false,
+            size,
+            room: size,
+            images: Vec::new(),
+        }
+    }
+
+    fn job(kind: Kind, tasks: u64, change: impl Fn(&mut crate::wire::user::Job)) -> Job {
+        let mut wire = wire_job("run-1", kind, tasks);
+        change(&mut wire);
+        Job::new(Spec::read(&wire), 1, 0, Phase::Open, 0)
+    }
+
+    fn run(job: &Job, slots: &mut [Slot], gpus_max: Option<u64>) -> Plan {
+        let mut teams = Teams::default();
+        teams.limits.insert(
+            "vision".into(),
+            Limit {
+                cpus: None,
+                gpus: gpus_max,
+            },
+        );
+        let id = JobId::from("run-1");
+        let candidate = Candidate {
+            id: &id,
+            job,
+            guaranteed: true,
+            zones: BTreeMap::new(),
+        };
+        plan(&[candidate], slots, &mut teams, 100)
+    }
+
+    #[test]
+    fn tasks_fill_the_fullest_machine_first() {
+        let mut slots = [slot("a", "east", 8.0), slot("b", "east", 8.0)];
+        slots[1].room.gpus = 2000;
+        let plan = run(&job(Kind::Array, 3, |_| {}), &mut slots, None);
+        let on: Vec<&str> = plan.starts.iter().map(|s| &*s.machine.0).collect();
+        assert_eq!(on, ["b", "b", "a"]);
+    }
+
+    #[test]
+    fn team_limits_bound_starts_and_demand() {
+        let mut slots = [slot("a", "east", 8.0)];
+        let plan = run(&job(Kind::Array, 100, |_| {}), &mut slots, Some(3000));
+        assert_eq!((plan.starts.len(), plan.unplaced.len()), (3, 0));
+        let mut slots = [slot("a", "east", 2.0)];
+        let plan = run(&job(Kind::Array, 100, |_| {}), &mut slots, Some(3000));
+        assert_eq!((plan.starts.len(), plan.unplaced[0].tasks), (2, 1));
+    }
+
+    #[test]
+    fn gangs_are_placed_whole_and_in_one_zone_if_asked() {
+        let mut slots = [slot("a", "east", 2.0), slot("b", "west", 2.0)];
+        let gang = job(Kind::Gang, 3, |j| j.one_zone = true);
+        let plan = run(&gang, &mut slots, None);
+        assert!(plan.starts.is_empty() && plan.unplaced[0].tasks == 3);
+        assert_eq!(
+            slots[0].room.gpus, 2000,
+            "nothing is held for a gang that does not fit"
+        );
+        let plan = run(&job(Kind::Gang, 3, |_| {}), &mut slots, None);
+        assert_eq!(plan.starts.len(), 3);
+    }
+
+    #[test]
+    fn zones_types_and_kinds_are_kept() {
+        let mut slots = [slot("a", "east", 9.0), slot("b", "west", 9.0)];
+        let plan = run(
+            &job(Kind::Service, 5, |j| j.spread = true),
+            &mut slots,
+            None,
+        );
+        let east = plan.starts.iter().filter(|s| &*s.machine.0 == "a").count();
+        assert_eq!((plan.starts.len(), east), (5, 3));
+        let mut slots = [slot("a", "east", 8.0)];
+        slots[0].spot = true;
+        assert!(
+            run(&job(Kind::Array, 1, |_| {}), &mut slots, None)
+                .starts
+                .is_empty()
+        );
+        assert_eq!(
+            run(&job(Kind::Array, 1, |j| j.spot = true), &mut slots, None)
+                .starts
+                .len(),
+            1
+        );
+        let mut slots = [slot("a", "east", 8.0)];
+        let other = job(Kind::Array, 1, |j| j.types = Some(vec!["cpu".into()]));
+        assert!(run(&other, &mut slots, None).starts.is_empty());
+        let west = job(Kind::Array, 1, |j| j.zone = Some("west".into()));
+        assert!(run(&west, &mut slots, None).starts.is_empty());
+    }
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,411 @@
+//! Settings: the platform's TOML file, checked, and what is derived from it.
+
+mod operator;
+
+pub use operator::Operator;
+
+use crate::constants as k;
+use crate::model::Resources;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// What is wrong with a settings file.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    #[error("{file}: {source}")]
+    Read {
+        file: String,
+        source: std::io::Error,
+    },
+    #[error("{file}: {message}")]
+    Parse { file: String, message: String },
+    #[error("{file}: {field}: {allowed}")]
+    Field {
+        file: String,
+        field: String,
+        allowed: String,
+    },
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Peer {
+    #[serde(rename = "node_name")]
+    pub node: String,
+    #[serde(rename = "site", default)]
+    pub zone: String,
+    pub addr: SocketAddr,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Services {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+impl Team {
+    /// The guarantee; `None` where the team has none in that amount.
+    pub fn guarantee(&self) -> Limit {
+        Limit::new(self.cpus, self.gpus)
+    }
+
+    /// The most its tasks may use.
+    pub fn limit(&self) -> Limit {
+        Limit::new(self.cpus_max, self.gpus_max)
+    }
+}
+
+/// A bound on CPUs and GPUs, either of which may be absent.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Limit {
+    pub cpus: Option<u64>,
+    pub gpus: Option<u64>,
+}
+
+impl Limit {
+    fn new(cpus: f64, gpus: f64) -> Self {
+        let bound = |x: f64| (x > 0.0).then(|| Resources::capacity(x, 0.0, 0.0).cpus);
+        Limit {
+            cpus: bound(cpus),
+            gpus: bound(gpus),
+        }
+    }
+
+    /// Whether `used` stays within the bound.
+    pub fn holds(&self, used: Resources) -> bool {
+        self.cpus.is_none_or(|most| used.cpus <= most)
+            && self.gpus.is_none_or(|most| used.gpus <= most)
+    }
+
+    pub fn is_some(&self) -> bool {
+        self.cpus.is_some() || self.gpus.is_some()
+    }
+}
+
+/// One aim of the users; kinds this program does not know are kept but not used.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub gang_wait_s: f64,
+    pub gang_peer_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct State {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Cloud {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Cluster {
+    pub zones: Vec<String>,
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: State,
+    pub cloud: Cloud,
+}
+
+/// What this node's machine allows.
+#[derive(Debug, Clone, Deserialize)]
+pub struct MachineLimits {
+    pub max_connections: usize,
+}
+
+impl Default for MachineLimits {
+    fn default() -> Self {
+        MachineLimits {
+            max_connections: k::DEFAULT_CONNECTIONS,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    #[serde(rename = "node_name")]
+    pub node: String,
+    #[serde(rename = "site", default)]
+    pub zone: String,
+    pub front: SocketAddr,
+    pub back: SocketAddr,
+    #[serde(default)]
+    pub peers: Vec<Peer>,
+    pub services: Services,
+    pub cluster: Cluster,
+    #[serde(default)]
+    pub machine_limits: MachineLimits,
+    #[serde(skip)]
+    pub operator: Operator,
+}
+
+impl Settings {
+    /// Reads and checks the platform's file and, where one is given, the operators' file.
+    pub fn load(file: &Path, operator: Option<&Path>) -> Result<Settings, SettingsError> {
+        let mut settings = Settings::parse(&read(file)?, &file.display().to_string())?;
+        if let Some(path) = operator {
+            settings.operator = Operator::parse(&read(path)?, &path.display().to_string())?;
+        }
+        Ok(settings)
+    }
+
+    /// Parses and checks the platform's settings; `file` names them in errors.
+    pub fn parse(text: &str, file: &str) -> Result<Settings, SettingsError> {
+        let settings: Settings = toml::from_str(text).map_err(|e| SettingsError::Parse {
+            file: file.into(),
+            message: e.to_string(),
+        })?;
+        settings
+            .check()
+            .map_err(|(field, allowed)| SettingsError::Field {
+                file: file.into(),
+                field,
+                allowed,
+            })?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), (String, String)> {
+        let fail = |field: &str, allowed: &str| Err((field.to_owned(), allowed.to_owned()));
+        if self.node.is_empty() || self.node.len() > 100 || self.node.contains(char::is_whitespace)
+        {
+            return fail("node_name", "expected 1 to 100 bytes without spaces");
+        }
+        if self.cluster.zones.is_empty() {
+            return fail("cluster.zones", "expected at least one zone");
+        }
+        let w = &self.cluster.workers;
+        let s = &self.cluster.state;
+        let positive = [
+            ("cluster.workers.report_s", w.report_s),
+            ("cluster.workers.lease_s", w.lease_s),
+            ("cluster.workers.gang_wait_s", w.gang_wait_s),
+            ("cluster.workers.gang_peer_s", w.gang_peer_s),
+            ("cluster.workers.cancel_s", w.cancel_s),
+            ("cluster.state.rps", s.rps),
+            ("cluster.state.write_rps", s.write_rps),
+            ("cluster.state.value_kb", s.value_kb),
+            ("cluster.cloud.rps", self.cluster.cloud.rps),
+        ];
+        for (field, amount) in positive {
+            if !(amount > 0.0 && amount <= 1e6) {
+                return fail(field, "expected a number above 0, at most 1e6");
+            }
+        }
+        if s.value_kb < 4.0 {
+            return fail("cluster.state.value_kb", "expected at least 4");
+        }
+        if s.txn_ops < 4 {
+            return fail("cluster.state.txn_ops", "expected at least 4");
+        }
+        if !(0.0..=1e6).contains(&self.cluster.cloud.list_lag_s) {
+            return fail(
+                "cluster.cloud.list_lag_s",
+                "expected a number from 0 to 1e6",
+            );
+        }
+        for team in &self.cluster.teams {
+            for (name, amount) in [
+                ("cpus", team.cpus),
+                ("cpus_max", team.cpus_max),
+                ("gpus", team.gpus),
+                ("gpus_max", team.gpus_max),
+            ] {
+                if !(0.0..=1e9).contains(&amount) {
+                    return Err((
+                        format!("cluster.teams.{}.{name}", team.name),
+                        "expected a number from 0 to 1e9".into(),
+                    ));
+                }
+            }
+        }
+        let need = w.lease_s * 1000.0 + (k::LEASE_TTL_MS + k::SAFETY_MARGIN_MS) as f64;
+        if w.cancel_s * 1000.0 < need * 1.01 {
+            return fail(
+                "cluster.workers.cancel_s",
+                "expected more than lease_s by at least the leader's lease and margin (6.3 s)",
+            );
+        }
+        Ok(())
+    }
+
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        self.cluster.teams.iter().find(|t| t.name == name)
+    }
+
+    pub fn timing(&self) -> Timing {
+        Timing::new(&self.cluster.workers)
+    }
+
+    /// Connections accepted on `front` at once: what the machine allows, less our own.
+    pub fn front_connections(&self) -> usize {
+        let ours = k::USER_CALLS + k::WORKER_CALLS + k::PEER_CONNECTIONS + 4 * k::POOL_IDLE;
+        self.machine_limits
+            .max_connections
+            .saturating_sub(ours)
+            .max(k::FRONT_CONNECTIONS_MIN)
+    }
+
+    /// Largest record this service writes, in bytes of its JSON form.
+    pub fn value_max(&self) -> usize {
+        (self.cluster.state.value_kb * 1024.0) as usize
+    }
+}
+
+/// Durations that follow from the settings, ms.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Timing {
+    /// A worker's lease.
+    pub worker_lease: u64,
+    /// How long after the send time of its last proof of office and of knowing all
+    /// cancellations a leader still answers reports ("grace").
+    pub grace: u64,
+    /// A machine silent this long is returned: its tasks have lapsed by then in most cases,
+    /// and the cloud's answer is the proof.
+    pub silent: u64,
+    pub report: u64,
+}
+
+impl Timing {
+    fn new(w: &Workers) -> Timing {
+        let ms = |s: f64| (s * 1000.0) as u64;
+        let slow = |t: u64| t + t * k::DRIFT_PPM / 1_000_000;
+        let lease = ms(w.lease_s);
+        let grace = ms(w.cancel_s).saturating_sub(slow(lease) + k::SAFETY_MARGIN_MS);
+        Timing {
+            worker_lease: lease,
+            grace: grace - grace * k::DRIFT_PPM / 1_000_000,
+            silent: lease,
+            report: ms(w.report_s),
+        }
+    }
+}
+
+fn read(path: &Path) -> Result<String, SettingsError> {
+    std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
+        file: path.display().to_string(),
+        source,
+    })
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+
+    pub const SAMPLE: &str = r#"
+node_name = "n0"
+site = "east"
+front = "127.0.0.1:0"
+back = "127.0.0.1:0"
+not_known = 3
+[[peers]]
+node_name = "n1"
+site = "west"
+addr = "127.0.0.1:9"
+[services]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:2"
+[cluster]
+nodes = 2
+zones = ["east", "west"]
+[[cluster.teams]]
+name = "vision"
+gpus = 4.0
+gpus_max = 8.0
+[[cluster.objectives]]
+kind = "wait"
+class = "train"
+within_s = 40.0
+[cluster.workers]
+report_s = 3.0
+lease_s = 17.0
+gang_wait_s = 30.0
+gang_peer_s = 6.0
+cancel_s = 42.0
+[cluster.state]
+rps = 200.0
+write_rps = 50.0
+value_kb = 8.0
+txn_ops = 24
+[cluster.cloud]
+rps = 2.0
+list_lag_s = 10.0
+"#;
+
+    #[test]
+    fn errors_name_file_field_and_what_is_allowed() {
+        assert!(Settings::parse(SAMPLE, "s.toml").is_ok());
+        let bad = SAMPLE.replace("lease_s = 17.0", "lease_s = -1.0");
+        let text = Settings::parse(&bad, "s.toml").unwrap_err().to_string();
+        assert!(
+            text.contains("s.toml") && text.contains("workers.lease_s"),
+            "{text}"
+        );
+        assert!(text.contains("above 0"), "{text}");
+        let bad = SAMPLE.replace("cancel_s = 42.0", "cancel_s = 20.0");
+        assert!(
+            Settings::parse(&bad, "s.toml")
+                .unwrap_err()
+                .to_string()
+                .contains("cancel_s")
+        );
+        let bad = SAMPLE.replace("front = ", "fromt = ");
+        assert!(
+            Settings::parse(&bad, "s.toml")
+                .unwrap_err()
+                .to_string()
+                .contains("front")
+        );
+    }
+
+    /// The inequality behind `ran_cancelled`: a node that has not heard of a cancellation stops
+    /// answering within the grace, and the worker's lease ends before `cancel_s`.
+    #[test]
+    fn grace_and_worker_lease_end_before_a_cancellation_is_due() {
+        for (lease, cancel) in [(17.0, 42.0), (30.0, 55.0), (5.0, 12.0)] {
+            let t = Timing::new(&Workers {
+                report_s: 3.0,
+                lease_s: lease,
+                gang_wait_s: 30.0,
+                gang_peer_s: 6.0,
+                cancel_s: cancel,
+            });
+            let slow = |ms: u64| ms + ms / 2000;
+            assert!(slow(t.grace) + slow(t.worker_lease) + 1000 < (cancel * 1000.0) as u64);
+            assert!(t.grace >= k::LEASE_TTL_MS);
+        }
+    }
+}
--- /dev/null
+++ b/src/tokens.rs
@@ -0,0 +1,77 @@
+//! Token buckets for calls to the state service and the cloud.
+
+use std::time::Duration;
+
+/// Refills at `rate` tokens a second and holds one second's worth.
+#[derive(Debug)]
+pub struct TokenBucket {
+    rate: f64,
+    tokens: f64,
+    filled: Duration,
+}
+
+impl TokenBucket {
+    pub fn new(rate: f64) -> Self {
+        TokenBucket {
+            rate,
+            tokens: rate,
+            filled: Duration::ZERO,
+        }
+    }
+
+    fn refill(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.filled).as_secs_f64();
+        self.filled = self.filled.max(now);
+        self.tokens = (self.tokens + passed * self.rate).min(self.rate.max(1.0));
+    }
+
+    /// Takes `amount`, leaving at least the share `reserve` of a full bucket; otherwise says
+    /// how long to wait. Nobody waits for more than a full bucket holds.
+    pub fn take(&mut self, amount: f64, reserve: f64, now: Duration) -> Option<Duration> {
+        self.refill(now);
+        let full = self.rate.max(1.0);
+        let need = (amount + reserve * full).min(full);
+        if self.tokens >= need {
+            self.tokens -= amount;
+            None
+        } else {
+            let wait = (need - self.tokens) / self.rate;
+            Some(Duration::from_secs_f64(wait.max(0.001)))
+        }
+    }
+
+    /// Takes `amount` whatever is left: later calls pay for it.
+    pub fn force(&mut self, amount: f64, now: Duration) {
+        self.refill(now);
+        self.tokens -= amount;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn users_leave_a_reserve_and_leases_never_wait() {
+        let at = Duration::from_secs;
+        let mut bucket = TokenBucket::new(10.0);
+        for _ in 0..7 {
+            assert_eq!(bucket.take(1.0, 0.25, at(0)), None);
+        }
+        assert!(
+            bucket.take(1.0, 0.25, at(0)).is_some(),
+            "the reserve is not for users"
+        );
+        assert_eq!(bucket.take(3.0, 0.0, at(0)), None);
+        let wait = bucket.take(1.0, 0.0, at(0)).unwrap();
+        assert!((wait.as_secs_f64() - 0.1).abs() < 0.01);
+        bucket.force(1.0, at(0));
+        assert!(bucket.take(1.0, 0.0, Duration::from_millis(150)).is_some());
+        assert_eq!(bucket.take(1.0, 0.0, Duration::from_millis(201)), None);
+        assert_eq!(
+            bucket.take(50.0, 0.0, at(9)),
+            None,
+            "a whole bucket is enough for anything"
+        );
+    }
+}
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,64 @@
+//! The messages of the platform's protocol, and the only place that knows its field names.
+//!
+//! Every type here carries serde renames from the project's own terms to the names on the
+//! wire. Bodies are MessagePack maps with text keys.
+
+pub mod cloud;
+pub mod store;
+pub mod user;
+pub mod worker;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Why a body could not be read.
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+pub enum DecodeError {
+    #[error("body is not a MessagePack map")]
+    NotAMap,
+    #[error("{0}")]
+    Invalid(String),
+}
+
+/// Encodes a message as a MessagePack map.
+pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
+    // Writing to memory fails only for maps of unknown length, which no message here has.
+    rmp_serde::to_vec_named(message).unwrap_or_default()
+}
+
+/// Decodes one MessagePack map that fills the whole body.
+pub fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, DecodeError> {
+    // Serde would read a struct from a list as well, which the protocol does not allow.
+    match body.first() {
+        Some(0x80..=0x8f | 0xde | 0xdf) => {}
+        _ => return Err(DecodeError::NotAMap),
+    }
+    let mut rest = body;
+    let message = T::deserialize(&mut rmp_serde::Deserializer::new(&mut rest))
+        .map_err(|e| DecodeError::Invalid(e.to_string()))?;
+    if !rest.is_empty() {
+        return Err(DecodeError::Invalid("bytes after the message".into()));
+    }
+    Ok(message)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_whole_maps_are_read() {
+        let lease = store::TouchBody { ttl_ms: 5 };
+        let body = encode(&lease);
+        assert_eq!(decode::<store::TouchBody>(&body).unwrap().ttl_ms, 5);
+        let mut long = body.clone();
+        long.push(0);
+        assert!(decode::<store::TouchBody>(&long).is_err());
+        let list = rmp_serde::to_vec(&lease).unwrap();
+        assert_eq!(
+            decode::<store::TouchBody>(&list).unwrap_err(),
+            DecodeError::NotAMap
+        );
+        assert!(decode::<store::TouchBody>(&[]).is_err());
+    }
+}
