--- a/src/api/finals.rs
+++ b/src/api/finals.rs
@@ -27,10 +27,10 @@
         if self.states.insert(id.to_owned(), (state, tasks)).is_none() {
             self.order.push_back(id.to_owned());
         }
-        if self.order.len() > self.most {
-            if let Some(oldest) = self.order.pop_front() {
-                self.states.remove(&oldest);
-            }
+        if self.order.len() > self.most
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.states.remove(&oldest);
         }
     }
 }
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -166,12 +166,11 @@
             .peers
             .iter()
             .find(|p| Some(&p.node) == view.leader.as_ref());
-        if let Some(link) = link {
-            if let Ok(Message::Counts { done, running }) =
+        if let Some(link) = link
+            && let Ok(Message::Counts { done, running }) =
                 link.exchange(&Message::Count { job: id.into() }).await
-            {
-                return (done, running);
-            }
+        {
+            return (done, running);
         }
         (0, 0)
     }
@@ -256,12 +255,12 @@
         struct Named {
             uid: String,
         }
-        if let Ok(named) = decode::<Named>(body) {
-            if user::valid_id(&named.uid) {
-                match self.look_up(&named.uid).await? {
-                    Known::Never => {}
-                    known => return Ok(self.accepted(&named.uid, &known).await),
-                }
+        if let Ok(named) = decode::<Named>(body)
+            && user::valid_id(&named.uid)
+        {
+            match self.look_up(&named.uid).await? {
+                Known::Never => {}
+                known => return Ok(self.accepted(&named.uid, &known).await),
             }
         }
         Ok(refuse(StatusCode::BAD_REQUEST, why))
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -140,3 +140,6 @@
 pub const DEFAULT_CONNECTIONS: usize = 1000;
 /// Connections accepted on `front` however small the machine: workers and probes need some.
 pub const FRONT_CONNECTIONS_MIN: usize = 64;
+/// Least time, s, between a worker's lease and the time allowed for a cancellation: the grace
+/// in which a leader without news still answers reports must span a few renewals and watches.
+pub const CANCEL_SLACK_MIN_S: f64 = 3.0;
--- a/src/engine/reports.rs
+++ b/src/engine/reports.rs
@@ -404,18 +404,20 @@
                     attempt,
                     grace_s: stop.grace_s,
                 });
-            } else if let Stage::Starting { sent, resends } = placement.stage {
-                if open && starts && resends < u32::MAX {
-                    let resends = if sent.is_some() { resends + 1 } else { 0 };
-                    placement.stage = Stage::Starting {
-                        sent: Some(tally),
-                        resends,
-                    };
-                    orders.push(Order::Start {
-                        task: text,
-                        attempt,
-                    });
-                }
+            } else if let Stage::Starting { sent, resends } = placement.stage
+                && open
+                && starts
+                && resends < u32::MAX
+            {
+                let resends = if sent.is_some() { resends + 1 } else { 0 };
+                placement.stage = Stage::Starting {
+                    sent: Some(tally),
+                    resends,
+                };
+                orders.push(Order::Start {
+                    task: text,
+                    attempt,
+                });
             }
         }
     }
