Place where the image is soonest, then fullest

Cause: fetching an image (23 to 80 s) outlasts most aims, and fetches on one machine share its rate; plain fullest fit packs different images onto one machine. Change: machines are ranked by the image (there, on its way, fetched alone, shared), then by fullness; the stated exception to fullest fit.

--- a/src/engine/rounds.rs
+++ b/src/engine/rounds.rs
@@ -7,6 +7,7 @@
 use crate::placement::{self, Candidate, Plan, Slot, Start, Teams};
 use crate::store::{StoreCall, StoreError, StoreReply};
 use crate::wire::store::Txn;
+use crate::wire::worker::TaskState;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -104,9 +105,18 @@
             .filter_map(|machine| {
                 let size = self.machine_type(&machine.machine_type)?.size;
                 let mut used = Resources::default();
+                let mut fetching = Vec::new();
                 for task in &machine.tasks {
-                    if let Some(job) = self.jobs.get(&task.job) {
-                        used += job.spec.need;
+                    let Some(job) = self.jobs.get(&task.job) else {
+                        continue;
+                    };
+                    used += job.spec.need;
+                    let stage = job.live.get(&task.index).map(|p| p.stage);
+                    let image = &job.spec.image;
+                    let ready = machine.has_image(image)
+                        || matches!(stage, Some(Stage::Up(s)) if s != TaskState::Fetching);
+                    if !ready && !fetching.contains(image) {
+                        fetching.push(image.clone());
                     }
                 }
                 Some(Slot {
@@ -121,6 +131,7 @@
                         .iter()
                         .map(|(name, _)| name.clone())
                         .collect(),
+                    fetching,
                 })
             })
             .collect()
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -116,7 +116,7 @@
                 slots.len() - 1
             }
         };
-        slots[at].room = slots[at].room - spec.need;
+        slots[at].take(spec);
         *zones.entry(slots[at].zone.clone()).or_insert(0) += 1;
     }
     one.tasks
@@ -153,6 +153,7 @@
             size,
             room: size,
             images: Vec::new(),
+            fetching: Vec::new(),
         })
 }
 
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -19,7 +19,32 @@
     pub spot: bool,
     pub size: Resources,
     pub room: Resources,
+    /// Images that it has.
     pub images: Vec<Arc<str>>,
+    /// Images that it is fetching, or will with the starts it was given.
+    pub fetching: Vec<Arc<str>>,
+}
+
+impl Slot {
+    /// Takes the room of one task.
+    pub fn take(&mut self, spec: &Spec) {
+        self.room = self.room - spec.need;
+        if !self.images.contains(&spec.image) && !self.fetching.contains(&spec.image) {
+            self.fetching.push(spec.image.clone());
+        }
+    }
+
+    /// How soon a task would have its image here: it is there, is on its way, would be fetched
+    /// alone, or would share the machine's rate with other fetches.
+    fn image_rank(&self, image: &Arc<str>) -> usize {
+        if self.images.contains(image) {
+            0
+        } else if self.fetching.contains(image) {
+            1
+        } else {
+            2 + self.fetching.len()
+        }
+    }
 }
 
 /// A job that may start tasks.
@@ -152,7 +177,7 @@
         };
         match slot {
             Some(at) => {
-                slots[at].room = slots[at].room - spec.need;
+                slots[at].take(spec);
                 *zones.entry(slots[at].zone.clone()).or_insert(0) += 1;
                 plan.starts.push(Start {
                     job: id.clone(),
@@ -199,7 +224,7 @@
     match places {
         Some(places) => {
             for (index, at) in (0..).zip(places) {
-                slots[at].room = slots[at].room - spec.need;
+                slots[at].take(spec);
                 plan.starts.push(Start {
                     job: id.clone(),
                     index,
@@ -232,7 +257,7 @@
         }
         for _ in 0..spec.tasks {
             let at = best(spec, &zones, &rooms)?;
-            rooms[at].room = rooms[at].room - spec.need;
+            rooms[at].take(spec);
             *zones.entry(rooms[at].zone.clone()).or_insert(0) += 1;
             places.push(at);
         }
@@ -258,7 +283,9 @@
         })
 }
 
-/// The fitting slot that is left fullest.
+/// The fitting slot that is left fullest, among those where the image is soonest there: an
+/// exception to plain fullest fit, since a fetch takes longer than many aims allow and fetches
+/// on one machine share its rate.
 pub fn best(spec: &Spec, zones: &BTreeMap<Arc<str>, u32>, slots: &[Slot]) -> Option<usize> {
     slots
         .iter()
@@ -270,8 +297,7 @@
         })
         .min_by_key(|(at, slot)| {
             let full = (slot.size - slot.room + spec.need).share_of(slot.size);
-            let cached = slot.images.contains(&spec.image);
-            (std::cmp::Reverse(full), !cached, *at)
+            (slot.image_rank(&spec.image), std::cmp::Reverse(full), *at)
         })
         .map(|(at, _)| at)
 }
@@ -292,6 +318,7 @@
             size,
             room: size,
             images: Vec::new(),
+            fetching: Vec::new(),
         }
     }
 
@@ -329,6 +356,26 @@
         assert_eq!(on, ["b", "b", "a"]);
     }
 
+    #[test]
+    fn images_on_the_machine_count_before_fullness() {
+        let mut slots = [
+            slot("a", "east", 8.0),
+            slot("b", "east", 8.0),
+            slot("c", "east", 8.0),
+        ];
+        slots[0].room.gpus = 2000;
+        slots[0].fetching.push("img-9".into());
+        slots[1].images.push("img-1".into());
+        slots[1].room.gpus = 1000;
+        let plan = run(&job(Kind::Array, 3, |_| {}), &mut slots, None);
+        let on: Vec<&str> = plan.starts.iter().map(|s| &*s.machine.0).collect();
+        assert_eq!(
+            on,
+            ["b", "c", "c"],
+            "the machine that has it, then one that fetches it alone"
+        );
+    }
+
     #[test]
     fn team_limits_bound_starts_and_demand() {
         let mut slots = [slot("a", "east", 8.0)];
