--- a/src/engine/hiring.rs
+++ b/src/engine/hiring.rs
@@ -249,7 +249,9 @@
             let held = now.saturating_sub(machine.rented);
             let why = match machine.phase {
                 MachinePhase::Booting if silent && !machine.tasks.is_empty() => "silent",
-                MachinePhase::Booting if held > boot_ms => "never came up",
+                // After a take-over every machine is new to this leader, however long it has
+                // been rented: it must have had time to report.
+                MachinePhase::Booting if held > boot_ms && silent => "never came up",
                 MachinePhase::Up if silent => "silent",
                 MachinePhase::Up if machine.aside && empty => "put aside",
                 MachinePhase::Up if idle && held > k::MIN_CHARGE_MS => "idle",
