A node answers reports for a leader it cannot hear, so a cut zone keeps its work

A node that the state service tells who leads, and that cannot hear that leader, now renews workers' leases with the leader's token and stops cancelled tasks, within the same grace as a leader in doubt; the leader leaves machines of a zone it cannot hear alone for as long, and then gives them time to report.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -13,6 +13,8 @@
 /// Between two announcements to the same peer: well below any lease, so that a superseded
 /// leader gives way within a second or so, and cheap (two small frames a second).
 pub const PEER_EVERY: Duration = Duration::from_millis(1000);
+/// A peer not heard of for this long counts as out of reach: three announcements.
+pub const PEER_SILENT: Duration = Duration::from_millis(3500);
 /// For connecting to a peer or writing one frame: peers are at most a few ms apart; a cut one
 /// is simply tried again at the next announcement.
 pub const PEER_TIMEOUT: Duration = Duration::from_millis(800);
--- a/src/engine/hiring.rs
+++ b/src/engine/hiring.rs
@@ -8,6 +8,7 @@
 use crate::placement::Unplaced;
 use crate::wire::cloud::{MachineState, Rent};
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 pub(super) use crate::fleet::Offer;
 
@@ -25,6 +26,8 @@
     list_after: Option<String>,
     returns: Retry,
     upkeep_at: Ms,
+    /// When each zone was last found cut off.
+    cut: BTreeMap<Arc<str>, Ms>,
 }
 
 impl Hiring {
@@ -40,6 +43,7 @@
             list_after: None,
             returns: Retry::default(),
             upkeep_at: now,
+            cut: BTreeMap::new(),
         }
     }
 }
@@ -229,6 +233,14 @@
         let silent_ms = self.timing.silent;
         let confident = self.confident();
         let types = self.types.clone();
+        let cut_off: Vec<Arc<str>> = self
+            .settings
+            .cluster
+            .zones
+            .iter()
+            .filter(|zone| self.cut_off_from(zone))
+            .map(|zone| zone.as_str().into())
+            .collect();
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
@@ -236,9 +248,18 @@
             return;
         }
         leader.hiring.upkeep_at = now + k::UPKEEP_EVERY_MS;
+        for zone in cut_off {
+            leader.hiring.cut.insert(zone, now);
+        }
         let mut taken = Vec::new();
         for machine in leader.machines.values_mut() {
-            let silent = now.saturating_sub(machine.seen) > silent_ms;
+            // A zone that can't be reached keeps working while a node there answers in our
+            // stead: its machines' silence counts from the end of the cut, or from the end of
+            // the longest time for which a node may do so. (Counted from their last report,
+            // the whole zone was returned the moment the cut ended.)
+            let cut = leader.hiring.cut.get(&machine.zone).copied().unwrap_or(0);
+            let excused = cut.min(machine.seen + self.timing.grace);
+            let silent = now.saturating_sub(machine.seen.max(excused)) > silent_ms;
             let boot_ms = types
                 .as_ref()
                 .and_then(|t| t.get(&machine.machine_type))
--- a/src/engine/leadership.rs
+++ b/src/engine/leadership.rs
@@ -48,8 +48,8 @@
     }
 
     pub(super) fn on_announced(&mut self, said: Announcement) {
-        if said.store_ok {
-            self.peer_store_ok = Some(self.now);
+        if self.settings.peers.iter().any(|p| p.node == said.node) {
+            self.peers.insert(said.node, (self.now, said.store_ok));
         }
         self.term_heard = self.term_heard.max(said.term);
         // A leader that the state service refuses hears of its successor this way.
@@ -74,6 +74,21 @@
             && self.fresh_at.is_some_and(|at| self.now < at + grace)
     }
 
+    /// The leader for which this node may answer reports in its absence: the state service says
+    /// that it leads, and it can't be heard. Whoever can't reach it from here is answered only
+    /// to keep its lease and to be told of cancellations; the right ends, as the leader's own
+    /// does, with the grace after the last proof of knowing all cancellations.
+    pub(super) fn deputy_for(&self) -> Option<&Holder> {
+        let holder = self
+            .holder
+            .as_ref()
+            .filter(|h| h.node != self.settings.node)?;
+        let knows = self
+            .fresh_at
+            .is_some_and(|at| self.now < at + self.timing.grace);
+        (knows && !self.hears(&holder.node)).then_some(holder)
+    }
+
     pub(super) fn lead_when_due(&mut self) {
         let now = self.now;
         match &mut self.role {
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -227,8 +227,8 @@
     campaign: Retry,
     /// Highest term heard of, from any source.
     term_heard: u64,
-    /// When peers last said that the state service answers them.
-    peer_store_ok: Option<Ms>,
+    /// When each peer was last heard of, and whether the state service answers it.
+    peers: BTreeMap<String, (Ms, bool)>,
 }
 
 impl Engine {
@@ -254,7 +254,7 @@
             role: Role::Follower,
             campaign: Retry::default(),
             term_heard: 0,
-            peer_store_ok: None,
+            peers: BTreeMap::new(),
         }
     }
 
@@ -285,8 +285,9 @@
         // A node that alone has lost the state service cannot serve users; in an outage that
         // all nodes see, staying in the balancer's rotation gives users a prompt 503.
         let others_ok = self
-            .peer_store_ok
-            .is_some_and(|at| self.now.saturating_sub(at) < 3 * k::PEER_EVERY.as_millis() as u64);
+            .peers
+            .iter()
+            .any(|(node, (_, store_ok))| *store_ok && self.hears(node));
         View {
             ready: self.types.is_some() && self.revision.is_some() && (store_ok || !others_ok),
             leading: self.leader().is_some(),
@@ -297,6 +298,25 @@
         }
     }
 
+    /// Whether a peer was heard of a moment ago.
+    fn hears(&self, node: &str) -> bool {
+        let lately = k::PEER_SILENT.as_millis() as u64;
+        self.peers
+            .get(node)
+            .is_some_and(|(at, _)| self.now.saturating_sub(*at) < lately)
+    }
+
+    /// Whether no peer of that zone can be heard, though there is one.
+    fn cut_off_from(&self, zone: &str) -> bool {
+        let mut there = self
+            .settings
+            .peers
+            .iter()
+            .filter(|p| p.zone == zone)
+            .peekable();
+        there.peek().is_some() && !there.any(|p| self.hears(&p.node))
+    }
+
     fn store_ok(&self) -> bool {
         let slow = k::WATCH_MS + k::WATCH_SLACK.as_millis() as u64;
         self.fresh_at
--- a/src/engine/reports.rs
+++ b/src/engine/reports.rs
@@ -15,11 +15,8 @@
 impl Engine {
     pub(super) fn on_report(&mut self, report: Report, to: ReplyId) {
         let Some(leader) = self.leader() else {
-            let elsewhere = match &self.holder {
-                Some(h) if h.node != self.settings.node => Reply::Elsewhere(Some(h.node.clone())),
-                _ => Reply::Unavailable,
-            };
-            return self.reply(to, elsewhere);
+            let answer = self.answer_as_follower(&report);
+            return self.reply(to, answer);
         };
         if report.token > leader.term {
             // The worker has seen a later leader.
@@ -42,6 +39,30 @@
         self.reply(to, Reply::Orders(Orders { token, orders }));
     }
 
+    fn answer_as_follower(&self, report: &Report) -> Reply {
+        if let Some(leader) = self.deputy_for().filter(|h| report.token <= h.term) {
+            let cancelled = |task: &&Task| {
+                let id = TaskId::parse(&task.task);
+                let job = id.and_then(|id| self.jobs.get(&id.job));
+                task.state != TaskState::Exited && job.is_some_and(|j| j.phase == Phase::Cancelled)
+            };
+            let stop = |task: &Task| Order::Stop {
+                task: task.task.clone(),
+                attempt: task.attempt,
+                grace_s: 0,
+            };
+            let orders = report.tasks.iter().filter(cancelled).map(stop).collect();
+            return Reply::Orders(Orders {
+                token: leader.term,
+                orders,
+            });
+        }
+        match &self.holder {
+            Some(h) if h.node != self.settings.node => Reply::Elsewhere(Some(h.node.clone())),
+            _ => Reply::Unavailable,
+        }
+    }
+
     /// Takes note of the machine itself; false if the report is out of date or of a machine
     /// that is gone.
     fn note_machine(&mut self, report: &Report, confirmed: bool) -> bool {
