--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -297,7 +297,9 @@
         })
         .min_by_key(|(at, slot)| {
             let full = (slot.size - slot.room + spec.need).share_of(slot.size);
-            (slot.image_rank(&spec.image), std::cmp::Reverse(full), *at)
+            // Ordinary machines are kept for jobs that may use no others.
+            let dear = spec.spot && !slot.spot;
+            (slot.image_rank(&spec.image), dear, std::cmp::Reverse(full), *at)
         })
         .map(|(at, _)| at)
 }
