Keep room ahead for jobs expected while a machine boots

Cause: a rented machine takes boot (25 to 45 s) and image fetch, longer than the waiting aims. The rate of each class over three minutes gives the jobs to expect during one boot; copies of the latest ones are planned like waiting jobs, and machines they would use are kept.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -145,3 +145,7 @@
 /// Least time, s, between a worker's lease and the time allowed for a cancellation: the grace
 /// in which a leader without news still answers reports must span a few renewals and watches.
 pub const CANCEL_SLACK_MIN_S: f64 = 3.0;
+/// Arrivals remembered, and the time over which their rate is taken, ms: long enough for a few
+/// of each class, short enough to follow a burst.
+pub const ARRIVALS_MOST: usize = 500;
+pub const ARRIVALS_MS: u64 = 180_000;
--- a/src/engine/hiring.rs
+++ b/src/engine/hiring.rs
@@ -3,8 +3,8 @@
 use super::{Engine, Op, Retry, Role};
 use crate::cloud::{CloudCall, CloudError, CloudReply};
 use crate::constants as k;
-use crate::fleet::{self, Waiting};
-use crate::model::{Machine, MachineId, MachinePhase, Ms, TaskId};
+use crate::fleet::{self, Waiting, Wanted};
+use crate::model::{Job, Machine, MachineId, MachinePhase, Ms, Phase, TaskId};
 use crate::placement::Unplaced;
 use crate::wire::cloud::{MachineState, Rent};
 use std::collections::{BTreeMap, BTreeSet};
@@ -26,6 +26,8 @@
     list_after: Option<String>,
     returns: Retry,
     upkeep_at: Ms,
+    /// Idle machines that are kept for what is expected.
+    keep: BTreeSet<MachineId>,
     /// When each zone was last found cut off.
     cut: BTreeMap<Arc<str>, Ms>,
 }
@@ -43,6 +45,7 @@
             list_after: None,
             returns: Retry::default(),
             upkeep_at: now,
+            keep: BTreeSet::new(),
             cut: BTreeMap::new(),
         }
     }
@@ -72,12 +75,16 @@
             return;
         };
         // Until the first list nobody knows what is rented already; demand must not double it.
-        let idle = leader.hiring.renting > 0 || leader.hiring.demand.is_empty();
-        if idle || !leader.hiring.listed || now < leader.hiring.hire_at {
+        let busy = leader.hiring.renting > 0;
+        if busy || !leader.hiring.listed || now < leader.hiring.hire_at {
             return;
         }
         leader.hiring.hire_at = now + k::UPKEEP_EVERY_MS;
-        for (offer, count) in self.wanted() {
+        let wanted = self.wanted();
+        if let Some(leader) = self.leader_mut() {
+            leader.hiring.keep = wanted.keep;
+        }
+        for (offer, count) in wanted.rent {
             let term = self.leader().map_or(0, |l| l.term);
             let Some(hiring) = self.leader_mut().map(|l| &mut l.hiring) else {
                 return;
@@ -100,9 +107,9 @@
         }
     }
 
-    fn wanted(&self) -> BTreeMap<Offer, u64> {
+    fn wanted(&self) -> Wanted {
         let (Some(leader), Some(types)) = (self.leader(), &self.types) else {
-            return BTreeMap::new();
+            return Wanted::default();
         };
         let now = self.now;
         let refused: BTreeSet<Offer> = leader
@@ -113,7 +120,7 @@
             .map(|(offer, _)| offer.clone())
             .collect();
         let candidates = self.candidates();
-        let waiting: Vec<Waiting<'_>> = leader
+        let mut waiting: Vec<Waiting<'_>> = leader
             .hiring
             .demand
             .iter()
@@ -126,6 +133,18 @@
                 })
             })
             .collect();
+        let objectives = &self.settings.cluster.objectives;
+        let expected: Vec<Job> = self
+            .arrivals
+            .expected(now, types, objectives)
+            .into_iter()
+            .map(|spec| Job::new(spec, 0, 0, Phase::Open, now))
+            .collect();
+        waiting.extend(expected.iter().map(|job| Waiting {
+            job,
+            tasks: job.spec.tasks,
+            zones: BTreeMap::new(),
+        }));
         let slots = self.slots(|m| self.is_expected(m));
         let offers = fleet::offers(types, &refused, self.settings.operator.spot);
         let most = match self.settings.operator.most_machines {
@@ -266,7 +285,8 @@
                 .map_or(0, |t| (t.boot_ms as f64 * k::BOOT_PATIENCE) as u64)
                 .max(k::BOOT_PATIENCE_MIN_MS);
             let empty = machine.tasks.is_empty() && machine.strays.is_empty();
-            let idle = empty && now.saturating_sub(machine.idle_since) > idle_ms;
+            let kept = leader.hiring.keep.contains(&machine.id);
+            let idle = empty && !kept && now.saturating_sub(machine.idle_since) > idle_ms;
             let held = now.saturating_sub(machine.rented);
             let why = match machine.phase {
                 MachinePhase::Booting if silent && !machine.tasks.is_empty() => "silent",
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -221,6 +221,7 @@
     fresh_at: Option<Ms>,
     holder: Option<Holder>,
     jobs: BTreeMap<JobId, Job>,
+    arrivals: crate::fleet::Arrivals,
     /// Records that could not be read: left alone.
     unreadable: BTreeSet<String>,
     role: Role,
@@ -250,6 +251,7 @@
             fresh_at: None,
             holder: None,
             jobs: BTreeMap::new(),
+            arrivals: crate::fleet::Arrivals::default(),
             unreadable: BTreeSet::new(),
             role: Role::Follower,
             campaign: Retry::default(),
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,8 +1,10 @@
 //! What to rent: a pure function from waiting tasks, expected room and offers to rentals.
 
-use crate::model::{Job, MachineType, Resources, Types};
+use crate::constants as k;
+use crate::model::{Job, MachineId, MachineType, Ms, Resources, Spec, Types};
 use crate::placement::{self, Slot};
-use std::collections::{BTreeMap, BTreeSet};
+use crate::settings::Objective;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 /// A type, zone and kind (spot or not) that can be asked for.
@@ -20,6 +22,74 @@
     pub zones: BTreeMap<Arc<str>, u32>,
 }
 
+/// Jobs that arrived lately, from which the near future is guessed.
+#[derive(Debug, Default)]
+pub struct Arrivals {
+    /// Oldest first.
+    seen: VecDeque<(Ms, Spec)>,
+}
+
+impl Arrivals {
+    pub fn note(&mut self, now: Ms, spec: &Spec) {
+        self.seen.push_back((now, spec.clone()));
+        if self.seen.len() > k::ARRIVALS_MOST {
+            self.seen.pop_front();
+        }
+    }
+
+    /// Jobs to expect while a machine boots, as copies of the latest ones of their class, for
+    /// classes with an aim that a job misses if a machine has to be rented for it first.
+    pub fn expected(&self, now: Ms, types: &Types, objectives: &[Objective]) -> Vec<Spec> {
+        let window = now.min(k::ARRIVALS_MS).max(1);
+        let mut classes: BTreeMap<&Arc<str>, Vec<&Spec>> = BTreeMap::new();
+        for (at, spec) in self.seen.iter().rev() {
+            if now.saturating_sub(*at) <= window {
+                classes.entry(&spec.class).or_default().push(spec);
+            }
+        }
+        let mut expected = Vec::new();
+        for (class, specs) in classes {
+            let Some(boot_ms) = specs.iter().find_map(|spec| {
+                let boot_ms = quickest(spec, types)?;
+                misses(spec, class, boot_ms, objectives).then_some(boot_ms)
+            }) else {
+                continue;
+            };
+            let lead_ms = boot_ms + boot_ms / 2;
+            let count = (specs.len() as u64 * lead_ms).div_ceil(window);
+            expected.extend(specs.into_iter().take(count as usize).cloned());
+        }
+        expected
+    }
+}
+
+/// The shortest nominal time from renting a machine to having the job's image on it.
+fn quickest(spec: &Spec, types: &Types) -> Option<u64> {
+    types
+        .values()
+        .filter(|t| spec.need.fits_in(t.size))
+        .filter(|t| {
+            spec.types
+                .as_ref()
+                .is_none_or(|names| names.contains(&t.name))
+        })
+        .map(|t| t.boot_ms + (spec.image_gb / t.fetch_gb_per_s.max(1e-3) * 1000.0) as u64)
+        .min()
+}
+
+/// Whether a job that starts only after `start_ms` misses one of its class's aims.
+fn misses(spec: &Spec, class: &str, start_ms: u64, objectives: &[Objective]) -> bool {
+    objectives.iter().any(|aim| {
+        let within_ms = aim.within_s.map_or(u64::MAX, |s| (s * 1000.0) as u64);
+        let needs_ms = match aim.kind.as_str() {
+            "wait" => start_ms,
+            "finished" => start_ms + spec.estimate_ms,
+            _ => 0,
+        };
+        aim.class.as_deref() == Some(class) && needs_ms > within_ms
+    })
+}
+
 /// Offers not refused a moment ago.
 pub fn offers(types: &Types, refused: &BTreeSet<Offer>, spot: bool) -> Vec<Offer> {
     let mut offers = Vec::new();
@@ -40,6 +110,13 @@
     offers
 }
 
+/// What should be rented, and which machines should be kept although they are idle.
+#[derive(Debug, Default)]
+pub struct Wanted {
+    pub rent: BTreeMap<Offer, u64>,
+    pub keep: BTreeSet<MachineId>,
+}
+
 /// How many machines of each offer to rent, at most `most` in all, so that the waiting tasks
 /// find room, given the room of machines that are up or expected.
 pub fn wanted(
@@ -48,8 +125,9 @@
     types: &Types,
     offers: &[Offer],
     most: u64,
-) -> BTreeMap<Offer, u64> {
+) -> Wanted {
     let known = slots.len();
+    let rooms: Vec<Resources> = slots.iter().map(|slot| slot.room).collect();
     for one in waiting {
         if one.job.spec.one_zone {
             // Each zone is tried as a whole; the one that costs least more is kept.
@@ -82,16 +160,21 @@
             fit(one, &mut slots, types, offers);
         }
     }
-    let mut counts = BTreeMap::new();
+    let mut wanted = Wanted::default();
+    for (slot, before) in slots.iter().zip(rooms) {
+        if slot.room != before {
+            wanted.keep.insert(slot.id.clone());
+        }
+    }
     for slot in slots.into_iter().skip(known).take(most as usize) {
         let offer = Offer {
             machine_type: slot.machine_type,
             zone: slot.zone,
             spot: slot.spot,
         };
-        *counts.entry(offer).or_insert(0) += 1;
+        *wanted.rent.entry(offer).or_insert(0) += 1;
     }
-    counts
+    wanted
 }
 
 fn cost(slots: &[Slot], types: &Types) -> f64 {
@@ -197,6 +280,7 @@
             zones: BTreeMap::new(),
         }];
         wanted(&waiting, Vec::new(), &types, &offers, 50)
+            .rent
             .into_iter()
             .collect()
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -299,7 +299,12 @@
             let full = (slot.size - slot.room + spec.need).share_of(slot.size);
             // Ordinary machines are kept for jobs that may use no others.
             let dear = spec.spot && !slot.spot;
-            (slot.image_rank(&spec.image), dear, std::cmp::Reverse(full), *at)
+            (
+                slot.image_rank(&spec.image),
+                dear,
+                std::cmp::Reverse(full),
+                *at,
+            )
         })
         .map(|(at, _)| at)
 }
