Keep room ahead only for classes with an aim for waiting

Cause: copies of large arrays (an aim for finishing only) held several idle machines and doubled the price.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -51,7 +51,7 @@
         for (class, specs) in classes {
             let Some(boot_ms) = specs.iter().find_map(|spec| {
                 let boot_ms = quickest(spec, types)?;
-                misses(spec, class, boot_ms, objectives).then_some(boot_ms)
+                starts_late(class, boot_ms, objectives).then_some(boot_ms)
             }) else {
                 continue;
             };
@@ -77,16 +77,11 @@
         .min()
 }
 
-/// Whether a job that starts only after `start_ms` misses one of its class's aims.
-fn misses(spec: &Spec, class: &str, start_ms: u64, objectives: &[Objective]) -> bool {
+/// Whether a job that starts only after `start_ms` misses its class's aim for waiting.
+fn starts_late(class: &str, start_ms: u64, objectives: &[Objective]) -> bool {
     objectives.iter().any(|aim| {
         let within_ms = aim.within_s.map_or(u64::MAX, |s| (s * 1000.0) as u64);
-        let needs_ms = match aim.kind.as_str() {
-            "wait" => start_ms,
-            "finished" => start_ms + spec.estimate_ms,
-            _ => 0,
-        };
-        aim.class.as_deref() == Some(class) && needs_ms > within_ms
+        aim.kind == "wait" && aim.class.as_deref() == Some(class) && start_ms > within_ms
     })
 }
 
