Return machines past their notice at once

Cause (log): machines whose notice had run out counted as silent for a whole worker lease (30 s) before their tasks could start elsewhere.

--- a/src/engine/hiring.rs
+++ b/src/engine/hiring.rs
@@ -250,6 +250,7 @@
         let now = self.now;
         let idle_ms = (self.settings.operator.idle_s * 1000.0) as u64;
         let silent_ms = self.timing.silent;
+        let report_ms = self.timing.report;
         let confident = self.confident();
         let types = self.types.clone();
         let cut_off: Vec<Arc<str>> = self
@@ -279,6 +280,8 @@
             let cut = leader.hiring.cut.get(&machine.zone).copied().unwrap_or(0);
             let excused = cut.min(machine.seen + self.timing.grace);
             let silent = now.saturating_sub(machine.seen.max(excused)) > silent_ms;
+            let quiet = now.saturating_sub(machine.seen);
+            let overdue = machine.taken_at.is_some_and(|at| now > at) && quiet > report_ms;
             let boot_ms = types
                 .as_ref()
                 .and_then(|t| t.get(&machine.machine_type))
@@ -293,6 +296,9 @@
                 // After a take-over every machine is new to this leader, however long it has
                 // been rented: it must have had time to report.
                 MachinePhase::Booting if held > boot_ms && silent => "never came up",
+                // Its time has come and it no longer reports: asking for its return gives the
+                // proof that its tasks are gone without waiting for a lease.
+                MachinePhase::Up if overdue => "taken",
                 MachinePhase::Up if silent => "silent",
                 MachinePhase::Up if machine.aside && empty => "put aside",
                 MachinePhase::Up if idle && held > k::MIN_CHARGE_MS => "idle",
