Tests of the engine in a scripted world; a job that had to wait becomes due by time

The world is a state service, a cloud and workers written from the protocol, under a fake clock, and counts broken rules. It found that a job slowed down after a failure was not planned again until something else happened: with nothing else going on it waited for ever.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -12,6 +12,8 @@
 mod recovery;
 mod reports;
 mod rounds;
+#[cfg(test)]
+mod tests;
 mod watching;
 
 pub use records::{
--- a/src/engine/rounds.rs
+++ b/src/engine/rounds.rs
@@ -394,6 +394,14 @@
             leader.rounds.open.remove(&number);
             leader.ends.remove(records::round_key(number));
         }
+        // A job that had to wait after a failure becomes due by time alone, with no event.
+        let waiting = self
+            .jobs
+            .values()
+            .any(|job| job.is_open() && !job.pending.is_empty());
+        if let Role::Leader(leader) = &mut self.role {
+            leader.dirty |= waiting;
+        }
         // A start that was never sent, because its machine does not report, can be undone at
         // once; one that was sent stays until the machine's answer proves where it is.
         let stall = 3 * self.timing.report;
--- /dev/null
+++ b/src/engine/tests/mod.rs
@@ -0,0 +1,281 @@
+//! The engine in a scripted world, under a fake clock.
+
+mod world;
+
+use crate::constants as k;
+use crate::wire::user::{Job, JobState, Kind, tests::job};
+use world::World;
+
+fn quick(id: &str, kind: Kind, tasks: u64) -> Job {
+    let mut job = job(id, kind, tasks);
+    job.estimate_s = if kind == Kind::Service { 0.0 } else { 10.0 };
+    job
+}
+
+fn world_with(jobs: Vec<Job>) -> World {
+    // LOG_LEVEL-like output of the engines, for whoever looks into a failure: run with --nocapture.
+    let _ = tracing_subscriber::fmt().with_test_writer().try_init();
+    let mut world = World::new(3);
+    world.run(2000);
+    for job in jobs {
+        world.submit(job);
+    }
+    world
+}
+
+#[track_caller]
+fn ends_well(world: &mut World, id: &str, most_ms: u64) {
+    let done = world.run_until(most_ms, |w| w.done(id));
+    assert!(
+        done,
+        "{id} is not done at {}:\n{}",
+        world.now,
+        world.describe()
+    );
+    assert_eq!(world.broken, Vec::<String>::new());
+}
+
+#[test]
+fn jobs_of_each_kind_run_and_leave_nothing_behind() {
+    let mut world = world_with(vec![
+        quick("run-1", Kind::Array, 5),
+        quick("run-2", Kind::Gang, 2),
+        quick("run-3", Kind::Service, 1),
+    ]);
+    ends_well(&mut world, "run-1", 120_000);
+    ends_well(&mut world, "run-2", 120_000);
+    assert_eq!(world.running("run-3"), 1);
+    world.cancel("run-3");
+    assert!(
+        world.run_until(2_000, |w| w.running("run-3") == 0),
+        "stopped at once"
+    );
+    assert!(
+        world.run_until(150_000, |w| w.workers.is_empty()),
+        "idle machines are returned"
+    );
+    assert_eq!(world.state("run-3"), Some(JobState::Cancelled));
+    for prefix in ["rounds/", "work/", "live/job/"] {
+        assert_eq!(world.keys(prefix), 0, "{prefix}");
+    }
+}
+
+#[test]
+fn a_leader_lost_at_any_step_of_a_round_breaks_nothing() {
+    // From before the start is planned until after its end is written.
+    for crash_at in (20_000..52_000).step_by(370) {
+        let mut world = world_with(vec![
+            quick("run-1", Kind::Array, 6),
+            quick("run-2", Kind::Gang, 2),
+        ]);
+        world.run(crash_at);
+        if let Some(leader) = world.leader() {
+            world.crash(leader);
+            world.run(4000);
+            world.start(leader);
+        }
+        ends_well(&mut world, "run-1", 150_000);
+        ends_well(&mut world, "run-2", 150_000);
+        assert!(
+            world.starts <= 8,
+            "crash at {crash_at}: work was done again"
+        );
+    }
+}
+
+#[test]
+fn all_nodes_lost_at_once_lose_no_job() {
+    for (at, pause) in [(1_500, 300), (24_000, 4_000), (31_000, 4_000)] {
+        let mut world = world_with(vec![quick("run-1", Kind::Array, 4)]);
+        world.run(at);
+        for node in 0..3 {
+            world.crash(node);
+        }
+        world.run(pause);
+        for node in 0..3 {
+            world.start(node);
+        }
+        ends_well(&mut world, "run-1", 150_000);
+    }
+}
+
+/// A new leader once took every machine's age from the list and returned the whole fleet as
+/// never up.
+#[test]
+fn a_take_over_returns_no_machine_that_works() {
+    let mut world = world_with(vec![quick("run-1", Kind::Service, 1)]);
+    assert!(world.run_until(60_000, |w| w.running("run-1") == 1));
+    world.run(120_000);
+    let leader = world.leader().unwrap();
+    world.crash(leader);
+    world.run(30_000);
+    assert_eq!(world.returned, Vec::<String>::new());
+    assert_eq!((world.running("run-1"), world.starts), (1, 1));
+}
+
+#[test]
+fn commits_without_an_answer_are_found_out_about() {
+    for every in 2..5 {
+        let mut world = world_with(vec![
+            quick("run-1", Kind::Array, 6),
+            quick("run-2", Kind::Gang, 3),
+        ]);
+        world.faults.lose_every = every;
+        ends_well(&mut world, "run-1", 240_000);
+        ends_well(&mut world, "run-2", 240_000);
+    }
+}
+
+#[test]
+fn an_outage_of_the_state_service_stops_starts_but_not_work() {
+    let mut world = world_with(vec![quick("run-1", Kind::Service, 1)]);
+    assert!(world.run_until(60_000, |w| w.running("run-1") == 1));
+    world.submit(quick("run-2", Kind::Array, 1));
+    world.faults.store_down = true;
+    world.run(15_000);
+    assert_eq!(world.starts, 1, "nothing is started in doubt");
+    assert_eq!(world.running("run-1"), 1, "what runs goes on");
+    world.faults.store_down = false;
+    ends_well(&mut world, "run-2", 60_000);
+    assert_eq!(world.running("run-1"), 1);
+}
+
+#[test]
+fn a_leader_that_alone_is_refused_gives_way() {
+    let mut world = world_with(vec![quick("run-1", Kind::Service, 1)]);
+    assert!(world.run_until(60_000, |w| w.running("run-1") == 1));
+    let old = world.leader().unwrap();
+    world.faults.store_refuses.insert(old);
+    assert!(world.run_until(2 * k::LEASE_TTL_MS, |w| {
+        w.leader().is_some_and(|l| l != old)
+    }));
+    world.run(2_000);
+    assert!(!world.engine(old).unwrap().view().leading);
+    world.submit(quick("run-2", Kind::Array, 2));
+    ends_well(&mut world, "run-2", 60_000);
+    assert_eq!(world.starts, 3, "nothing was started again");
+}
+
+/// Cancelled through another node while the leader hears nothing from the state service and
+/// nobody can take over: the leader stops answering in time for the worker's lease to end.
+#[test]
+fn a_cancellation_reaches_tasks_whose_leader_is_cut_off() {
+    let mut world = world_with(vec![quick("run-1", Kind::Service, 1)]);
+    assert!(world.run_until(60_000, |w| w.running("run-1") == 1));
+    let leader = world.leader().unwrap();
+    for node in (0..3).filter(|n| *n != leader) {
+        world.crash(node);
+    }
+    world.faults.store_refuses.insert(leader);
+    world.run(500);
+    world.cancel("run-1");
+    world.run(60_000);
+    assert_eq!(world.broken, Vec::<String>::new());
+    assert_eq!(world.running("run-1"), 0);
+}
+
+#[test]
+fn a_cut_zone_keeps_its_work_and_hears_of_cancellations() {
+    let mut one = quick("run-1", Kind::Service, 1);
+    one.zone = Some("west".into());
+    let mut other = quick("run-2", Kind::Service, 1);
+    other.zone = Some("west".into());
+    let mut world = world_with(vec![one, other]);
+    assert!(world.run_until(60_000, |w| w.running("run-1") + w.running("run-2") == 2));
+    while world.leader() == Some(1) {
+        world.crash(1);
+        world.run(10_000);
+        world.start(1);
+        world.run(3_000);
+    }
+    world.run(10_000);
+    world.faults.zones_cut = true;
+    world.run(15_000);
+    world.cancel("run-2");
+    world.run(15_000);
+    assert_eq!(world.running("run-1"), 1, "{}", world.describe());
+    assert_eq!(
+        world.running("run-2"),
+        0,
+        "a node in the zone passes the cancellation on"
+    );
+    world.faults.zones_cut = false;
+    world.run(20_000);
+    assert_eq!((world.running("run-1"), world.starts), (1, 2));
+    assert_eq!(
+        world.returned,
+        Vec::<String>::new(),
+        "nor is it returned when the cut ends"
+    );
+    assert_eq!(world.broken, Vec::<String>::new());
+}
+
+#[test]
+fn a_hung_machine_is_replaced_without_running_twice() {
+    let mut world = world_with(vec![quick("run-1", Kind::Service, 1)]);
+    assert!(world.run_until(60_000, |w| w.running("run-1") == 1));
+    let machine = world.machine_of("run-1").unwrap();
+    world.faults.hung.insert(machine.clone());
+    world.faults.cloud_down = true;
+    world.run(60_000);
+    assert_eq!(world.starts, 1, "silence alone proves nothing");
+    world.faults.cloud_down = false;
+    assert!(world.run_until(60_000, |w| w.running("run-1") == 1 && w.starts == 2));
+    assert!(world.returned.contains(&machine));
+    assert_eq!(world.broken, Vec::<String>::new());
+}
+
+#[test]
+fn failing_machines_are_put_aside_and_failing_jobs_slowed_down() {
+    let mut world = world_with(vec![quick("run-1", Kind::Array, 1)]);
+    ends_well(&mut world, "run-1", 60_000);
+    let machine = world.workers.keys().next().unwrap().clone();
+    world.faults.sick.insert(machine.clone());
+    world.submit(quick("run-2", Kind::Array, 1));
+    world.submit(quick("run-3", Kind::Array, 1));
+    ends_well(&mut world, "run-2", 120_000);
+    ends_well(&mut world, "run-3", 120_000);
+    assert!(
+        world.returned.contains(&machine),
+        "the sick machine is given back"
+    );
+    let healthy = world.returned.len();
+    world.submit(quick("run-4", Kind::Array, 1));
+    world.faults.faulty.insert("run-4".into());
+    let before = world.starts;
+    world.run(100_000);
+    assert!(
+        world.starts - before <= 10,
+        "{} starts of a job that fails",
+        world.starts - before
+    );
+    let blamed = world.returned[healthy..]
+        .iter()
+        .filter(|m| world.machine_of("run-4") == Some((*m).clone()));
+    assert_eq!(blamed.count(), 0);
+}
+
+#[test]
+fn unknown_tasks_are_stopped_before_their_machine_is_used() {
+    let mut world = world_with(vec![quick("run-1", Kind::Service, 1)]);
+    assert!(world.run_until(60_000, |w| w.running("run-1") == 1));
+    let machine = world.machine_of("run-1").unwrap();
+    world
+        .jobs
+        .insert("run-9".into(), quick("run-9", Kind::Service, 1));
+    world.plant(&machine, "run-9/0");
+    world.run(8_000);
+    assert_eq!(world.running("run-9"), 0);
+    assert_eq!(world.running("run-1"), 1);
+}
+
+#[test]
+fn team_limits_hold_under_load() {
+    let jobs = (1..6)
+        .map(|n| quick(&format!("run-{n}"), Kind::Array, 6))
+        .collect();
+    let mut world = world_with(jobs);
+    for n in 1..6 {
+        ends_well(&mut world, &format!("run-{n}"), 200_000);
+    }
+}
--- /dev/null
+++ b/src/engine/tests/world.rs
@@ -0,0 +1,947 @@
+//! A small world under a fake clock: engines, a state service, a cloud and workers, written
+//! from the protocol. It counts rules broken as the workers see them.
+
+use crate::cloud::{CloudCall, CloudError, CloudReply};
+use crate::engine::records::{self, FinalRecord, JobRecord};
+use crate::engine::{Command, Effect, Engine, Reply, ReplyId};
+use crate::model::Ms;
+use crate::peer::Announcement;
+use crate::settings::{Settings, tests::SAMPLE};
+use crate::store::{StoreCall, StoreError, StoreReply};
+use crate::wire::cloud as wc;
+use crate::wire::store as ws;
+use crate::wire::user::{Job, JobState};
+use crate::wire::worker::{Order, Report, Task, TaskState, Why};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+const LATENCY: Ms = 5;
+const BOOT: Ms = 20_000;
+const FETCH: Ms = 8_000;
+const WORKER_LEASE: Ms = 17_000;
+const WORKER_TIMEOUT: Ms = 4_000;
+
+/// What goes wrong, switched by the tests.
+#[derive(Default)]
+pub struct Faults {
+    /// The state service answers 503 to all, or to these nodes only.
+    pub store_down: bool,
+    pub store_refuses: BTreeSet<usize>,
+    /// Every nth commit is executed but not answered.
+    pub lose_every: u64,
+    /// Pairs of zones that can't reach each other.
+    pub zones_cut: bool,
+    /// Machines that answer nothing and do nothing.
+    pub hung: BTreeSet<String>,
+    /// Machines on which every task fails.
+    pub sick: BTreeSet<String>,
+    /// Machines that can't be reached but go on.
+    pub cut: BTreeSet<String>,
+    /// Jobs whose tasks fail everywhere.
+    pub faulty: BTreeSet<String>,
+    pub cloud_down: bool,
+}
+
+#[derive(Default)]
+struct Store {
+    keys: BTreeMap<String, (rmpv::Value, u64, Option<u64>)>,
+    revision: u64,
+    leases: BTreeMap<u64, (u64, Ms)>,
+    log: Vec<(u64, ws::Event)>,
+    watches: Vec<Watch>,
+    commits: u64,
+}
+
+struct Watch {
+    node: usize,
+    epoch: u64,
+    op: u64,
+    prefix: String,
+    after: u64,
+    until: Ms,
+}
+
+#[derive(Clone)]
+pub struct OnMachine {
+    pub attempt: u64,
+    pub since: Ms,
+    pub state: TaskState,
+    why: Option<Why>,
+    stop: bool,
+}
+
+pub struct Worker {
+    zone: String,
+    pub node: usize,
+    up_at: Ms,
+    session: u64,
+    seq: u64,
+    token: u64,
+    sent: Ms,
+    answered: Ms,
+    busy: bool,
+    pub tasks: BTreeMap<String, OnMachine>,
+    images: BTreeSet<String>,
+}
+
+enum Ev {
+    Tick(usize),
+    Announce(usize),
+    Command(usize, u64, Command),
+    Send(String),
+    Receive(String, u64, Option<Reply>),
+    Direct(String, crate::wire::worker::DirectOrders),
+}
+
+struct Node {
+    engine: Option<Engine>,
+    epoch: u64,
+    zone: String,
+    started: Ms,
+}
+
+pub struct World {
+    pub now: Ms,
+    order: u64,
+    queue: BTreeMap<(Ms, u64), Ev>,
+    nodes: Vec<Node>,
+    store: Store,
+    pub workers: BTreeMap<String, Worker>,
+    rented: u64,
+    requests: BTreeMap<String, Vec<String>>,
+    replies: BTreeMap<ReplyId, (String, u64)>,
+    pub faults: Faults,
+    pub jobs: BTreeMap<String, Job>,
+    pub cancelled: BTreeMap<String, Ms>,
+    pub broken: Vec<String>,
+    pub starts: u64,
+    pub returned: Vec<String>,
+}
+
+fn settings(node: usize, nodes: usize) -> Settings {
+    let mut s = Settings::parse(SAMPLE, "sample").unwrap();
+    let zone = |n: usize| if n == 1 { "west" } else { "east" }.to_owned();
+    let peer = s.peers[0].clone();
+    s.node = format!("n{node}");
+    s.zone = zone(node);
+    s.peers = (0..nodes)
+        .filter(|n| *n != node)
+        .map(|n| crate::settings::Peer {
+            node: format!("n{n}"),
+            zone: zone(n),
+            ..peer.clone()
+        })
+        .collect();
+    s
+}
+
+impl World {
+    pub fn new(nodes: usize) -> World {
+        let mut world = World {
+            now: 0,
+            order: 0,
+            queue: BTreeMap::new(),
+            nodes: Vec::new(),
+            store: Store::default(),
+            workers: BTreeMap::new(),
+            rented: 0,
+            requests: BTreeMap::new(),
+            replies: BTreeMap::new(),
+            faults: Faults::default(),
+            jobs: BTreeMap::new(),
+            cancelled: BTreeMap::new(),
+            broken: Vec::new(),
+            starts: 0,
+            returned: Vec::new(),
+        };
+        for node in 0..nodes {
+            let zone = settings(node, nodes).zone;
+            world.nodes.push(Node {
+                engine: None,
+                epoch: 0,
+                zone,
+                started: 0,
+            });
+        }
+        for node in 0..nodes {
+            world.start(node);
+        }
+        world
+    }
+
+    pub fn start(&mut self, node: usize) {
+        let settings = Arc::new(settings(node, self.nodes.len()));
+        let it = &mut self.nodes[node];
+        it.epoch += 1;
+        it.started = self.now;
+        // The seed is fixed: the same verdict every time.
+        it.engine = Some(Engine::new(settings, node as u64 * 1000 + it.epoch));
+        self.at(0, Ev::Tick(node));
+        self.at(100, Ev::Announce(node));
+    }
+
+    pub fn crash(&mut self, node: usize) {
+        self.nodes[node].engine = None;
+        self.nodes[node].epoch += 1;
+        self.store.watches.retain(|w| w.node != node);
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        (0..self.nodes.len())
+            .filter(|n| self.engine(*n).is_some_and(|e| e.view().leading))
+            .max_by_key(|n| self.engine(*n).map(|e| e.view().term))
+    }
+
+    pub fn engine(&self, node: usize) -> Option<&Engine> {
+        self.nodes[node].engine.as_ref()
+    }
+
+    fn at(&mut self, delay: Ms, ev: Ev) {
+        self.order += 1;
+        self.queue.insert((self.now + delay, self.order), ev);
+    }
+
+    /// Any node's acceptance of a job.
+    pub fn submit(&mut self, job: Job) {
+        let record = JobRecord {
+            job: job.clone(),
+            at_ms: self.now,
+            cancelled: false,
+        };
+        self.put(&records::job_key(&job.id), records::job_value(&record));
+        self.jobs.insert(job.id.clone(), job);
+    }
+
+    /// Any node's acceptance of a cancellation.
+    pub fn cancel(&mut self, id: &str) {
+        let key = records::job_key(id);
+        let (value, _, _) = self.store.keys.get(&key).unwrap().clone();
+        let record = JobRecord {
+            cancelled: true,
+            ..records::read_job(value).unwrap()
+        };
+        let last = FinalRecord {
+            state: JobState::Cancelled,
+            tasks: record.job.tasks,
+        };
+        self.put(&key, records::job_value(&record));
+        self.put(&records::final_key(id), records::final_value(&last));
+        self.cancelled.insert(id.into(), self.now);
+    }
+
+    fn put(&mut self, key: &str, value: rmpv::Value) {
+        let txn = ws::Txn::default().put(key, value);
+        self.commit(&txn).unwrap();
+    }
+
+    pub fn state(&self, id: &str) -> Option<JobState> {
+        let (value, _, _) = self.store.keys.get(&records::final_key(id))?;
+        Some(records::read_final(value.clone())?.state)
+    }
+
+    pub fn done(&self, id: &str) -> bool {
+        self.state(id) == Some(JobState::Done)
+    }
+
+    pub fn keys(&self, prefix: &str) -> usize {
+        self.store
+            .keys
+            .keys()
+            .filter(|k| k.starts_with(prefix))
+            .count()
+    }
+
+    pub fn running(&self, id: &str) -> usize {
+        let of = |(name, t): &(&String, &OnMachine)| {
+            name.starts_with(&format!("{id}/")) && t.state == TaskState::Running
+        };
+        self.workers
+            .values()
+            .map(|w| w.tasks.iter().filter(of).count())
+            .sum()
+    }
+
+    /// The machine with a task of the job on it.
+    pub fn machine_of(&self, id: &str) -> Option<String> {
+        let on = |w: &Worker| w.tasks.keys().any(|t| t.starts_with(&format!("{id}/")));
+        self.workers
+            .iter()
+            .find(|(_, w)| on(w))
+            .map(|(name, _)| name.clone())
+    }
+
+    /// Puts a task on a machine that no leader ordered there.
+    pub fn plant(&mut self, machine: &str, task: &str) {
+        let planted = OnMachine {
+            attempt: 1,
+            since: self.now,
+            state: TaskState::Running,
+            why: None,
+            stop: false,
+        };
+        self.workers
+            .get_mut(machine)
+            .unwrap()
+            .tasks
+            .insert(task.into(), planted);
+    }
+
+    /// The workers and what is on them, for the message of a failed test.
+    pub fn describe(&self) -> String {
+        let line = |(name, w): (&String, &Worker)| {
+            let tasks: Vec<String> = w
+                .tasks
+                .iter()
+                .map(|(id, t)| format!("{id} try {} {:?} {:?}", t.attempt, t.state, t.why))
+                .collect();
+            let (zone, node, token, session) = (&w.zone, w.node, w.token, w.session);
+            format!("{name} {zone} at n{node} token {token} session {session}: {tasks:?}")
+        };
+        let lines: Vec<String> = self.workers.iter().map(line).collect();
+        let leader = self.leader();
+        format!(
+            "leader {leader:?}, returned {:?}\n{}",
+            self.returned,
+            lines.join("\n")
+        )
+    }
+
+    pub fn run(&mut self, ms: Ms) {
+        let end = self.now + ms;
+        while let Some((&(at, _), _)) = self.queue.first_key_value() {
+            if at > end {
+                break;
+            }
+            let ((at, _), ev) = self.queue.pop_first().unwrap();
+            self.now = at;
+            self.expire();
+            self.work();
+            self.handle(ev);
+        }
+        self.now = end;
+    }
+
+    pub fn run_until(&mut self, most: Ms, what: impl Fn(&World) -> bool) -> bool {
+        let end = self.now + most;
+        while self.now < end {
+            if what(self) {
+                return true;
+            }
+            self.run(100);
+        }
+        what(self)
+    }
+
+    fn handle(&mut self, ev: Ev) {
+        match ev {
+            Ev::Tick(node) => {
+                if self.nodes[node].engine.is_some() {
+                    let epoch = self.nodes[node].epoch;
+                    self.step(node, epoch, None);
+                    self.at(200, Ev::Tick(node));
+                }
+            }
+            Ev::Announce(from) => {
+                let Some(view) = self.engine(from).map(Engine::view) else {
+                    return;
+                };
+                for to in 0..self.nodes.len() {
+                    let cut = self.faults.zones_cut && self.nodes[to].zone != self.nodes[from].zone;
+                    if to != from && !cut {
+                        let said = Announcement {
+                            node: format!("n{from}"),
+                            term: view.term,
+                            store_ok: view.store_ok,
+                        };
+                        let epoch = self.nodes[to].epoch;
+                        self.at(LATENCY, Ev::Command(to, epoch, Command::Announced(said)));
+                    }
+                }
+                self.at(1000, Ev::Announce(from));
+            }
+            Ev::Command(node, epoch, command) => self.step(node, epoch, Some(command)),
+            Ev::Send(name) => self.send_report(&name),
+            Ev::Receive(name, seq, reply) => self.receive(&name, seq, reply),
+            Ev::Direct(name, direct) => {
+                if self.faults.hung.contains(&name) || self.faults.cut.contains(&name) {
+                    return;
+                }
+                let Some(w) = self.workers.get_mut(&name) else {
+                    return;
+                };
+                if direct.token >= w.token && direct.session == w.session {
+                    w.token = direct.token;
+                    w.seq += 1;
+                    self.execute(&name, &direct.orders);
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, node: usize, epoch: u64, command: Option<Command>) {
+        let it = &mut self.nodes[node];
+        if it.epoch != epoch {
+            return;
+        }
+        let (now, started) = (self.now, it.started);
+        let Some(engine) = it.engine.as_mut() else {
+            return;
+        };
+        // Each process has a steady clock of its own.
+        for effect in engine.step(now - started, now, command) {
+            self.effect(node, epoch, effect);
+        }
+    }
+
+    fn effect(&mut self, node: usize, epoch: u64, effect: Effect) {
+        match effect {
+            Effect::Reply { to, reply } => {
+                let Some((worker, seq)) = self.replies.remove(&to) else {
+                    return;
+                };
+                if self.reaches(&worker, node) {
+                    self.at(LATENCY, Ev::Receive(worker, seq, Some(reply)));
+                }
+            }
+            Effect::Store { op, call, .. } => {
+                if let StoreCall::Watch {
+                    prefix,
+                    after,
+                    wait_ms,
+                } = call
+                {
+                    let until = self.now + wait_ms;
+                    self.store.watches.push(Watch {
+                        node,
+                        epoch,
+                        op,
+                        prefix,
+                        after,
+                        until,
+                    });
+                    return self.serve_watches();
+                }
+                let refused = self.faults.store_down || self.faults.store_refuses.contains(&node);
+                let result = if refused {
+                    Err(StoreError::Refused("503".into()))
+                } else {
+                    self.store_call(&call)
+                };
+                let command = Command::StoreDone { op, result };
+                self.at(LATENCY, Ev::Command(node, epoch, command));
+                self.serve_watches();
+            }
+            Effect::Cloud { op, call } => {
+                let result = self.cloud_call(call);
+                self.at(
+                    80,
+                    Ev::Command(node, epoch, Command::CloudDone { op, result }),
+                );
+            }
+            Effect::Orders { addr, orders } => {
+                let name = format!("host-{:06}", addr.port());
+                if self.reaches(&name, node) {
+                    self.at(LATENCY, Ev::Direct(name, orders));
+                }
+            }
+        }
+    }
+
+    fn reaches(&self, worker: &str, node: usize) -> bool {
+        let Some(w) = self.workers.get(worker) else {
+            return false;
+        };
+        let cut = self.faults.zones_cut && w.zone != self.nodes[node].zone;
+        !cut && !self.faults.hung.contains(worker) && !self.faults.cut.contains(worker)
+    }
+
+    // The state service.
+
+    fn store_call(&mut self, call: &StoreCall) -> Result<StoreReply, StoreError> {
+        match call {
+            StoreCall::Get { key } => Ok(StoreReply::Got(self.store.keys.get(key).map(
+                |(value, version, _)| ws::Item {
+                    key: key.clone(),
+                    value: value.clone(),
+                    version: *version,
+                },
+            ))),
+            StoreCall::List { prefix, after } => {
+                let items: Vec<ws::Item> = self
+                    .store
+                    .keys
+                    .iter()
+                    .filter(|(k, _)| k.starts_with(prefix) && after.as_ref().is_none_or(|a| *k > a))
+                    .map(|(k, (value, version, _))| ws::Item {
+                        key: k.clone(),
+                        value: value.clone(),
+                        version: *version,
+                    })
+                    .collect();
+                // Short pages, so that paging is exercised.
+                let more = items.len() > 5;
+                let items = items.into_iter().take(5).collect();
+                Ok(StoreReply::Listed(ws::Listing {
+                    items,
+                    more,
+                    revision: self.store.revision,
+                }))
+            }
+            StoreCall::Commit(txn) => {
+                self.store.commits += 1;
+                let result = self.commit(txn);
+                if self.store.commits.is_multiple_of(self.faults.lose_every) {
+                    return Err(StoreError::Unknown("lost".into()));
+                }
+                result
+            }
+            StoreCall::Hold { ttl_ms } => {
+                let lease = self.store.leases.len() as u64 + 1;
+                self.store
+                    .leases
+                    .insert(lease, (*ttl_ms, self.now + ttl_ms));
+                Ok(StoreReply::Held { lease })
+            }
+            StoreCall::Touch { lease } => {
+                let now = self.now;
+                match self
+                    .store
+                    .leases
+                    .get_mut(lease)
+                    .filter(|(_, until)| *until > now)
+                {
+                    Some((ttl, until)) => {
+                        *until = now + *ttl;
+                        Ok(StoreReply::Ok)
+                    }
+                    None => Err(StoreError::NoLease),
+                }
+            }
+            StoreCall::Drop { lease } => {
+                if let Some((_, until)) = self.store.leases.get_mut(lease) {
+                    *until = 0;
+                }
+                self.expire();
+                Ok(StoreReply::Ok)
+            }
+            StoreCall::Watch { .. } => unreachable!("kept apart"),
+        }
+    }
+
+    fn commit(&mut self, txn: &ws::Txn) -> Result<StoreReply, StoreError> {
+        assert!(
+            txn.writes.len() <= 24 && txn.conditions.len() <= 96,
+            "over the limits"
+        );
+        let now = self.now;
+        for write in &txn.writes {
+            let over = |lease: &u64| {
+                let lease = self.store.leases.get(lease);
+                lease.is_none_or(|(_, until)| *until <= now)
+            };
+            if matches!(write, ws::Write::Put { lease: Some(lease), .. } if over(lease)) {
+                return Err(StoreError::Bad("no such lease".into()));
+            }
+        }
+        let version = |key: &str| self.store.keys.get(key).map_or(0, |(_, v, _)| *v);
+        let failed: Vec<String> = txn
+            .conditions
+            .iter()
+            .filter(|c| version(&c.key) != c.version)
+            .map(|c| c.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            return Err(StoreError::Conflict(failed));
+        }
+        self.store.revision += 1;
+        let revision = self.store.revision;
+        for write in &txn.writes {
+            match write {
+                ws::Write::Put { put, value, lease } => {
+                    self.store
+                        .keys
+                        .insert(put.clone(), (value.clone(), revision, *lease));
+                    let event = ws::Event::Put {
+                        put: put.clone(),
+                        value: value.clone(),
+                        version: revision,
+                    };
+                    self.store.log.push((revision, event));
+                }
+                ws::Write::Delete { delete } => self.delete(delete, revision),
+            }
+        }
+        self.serve_watches();
+        Ok(StoreReply::Committed { revision })
+    }
+
+    fn delete(&mut self, key: &str, version: u64) {
+        if self.store.keys.remove(key).is_some() {
+            let event = ws::Event::Delete {
+                delete: key.into(),
+                version,
+            };
+            self.store.log.push((version, event));
+        }
+    }
+
+    /// Ends leases, worker leases and outages' grace.
+    fn expire(&mut self) {
+        let now = self.now;
+        if self.faults.store_down {
+            // An outage gives all leases their full time again.
+            for (ttl, until) in self
+                .store
+                .leases
+                .values_mut()
+                .filter(|(_, until)| *until > 0)
+            {
+                *until = now + *ttl;
+            }
+        }
+        let over: Vec<String> = self
+            .store
+            .keys
+            .iter()
+            .filter(|(_, (_, _, lease))| {
+                lease.is_some_and(|l| self.store.leases.get(&l).is_none_or(|(_, u)| *u <= now))
+            })
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in over {
+            self.store.revision += 1;
+            self.delete(&key, self.store.revision);
+        }
+        self.serve_watches();
+    }
+
+    fn serve_watches(&mut self) {
+        if self.faults.store_down {
+            return;
+        }
+        let (now, revision) = (self.now, self.store.revision);
+        let mut rest = Vec::new();
+        for w in std::mem::take(&mut self.store.watches) {
+            let events: Vec<ws::Event> = self
+                .store
+                .log
+                .iter()
+                .filter(|(at, event)| {
+                    let (ws::Event::Put { put: key, .. } | ws::Event::Delete { delete: key, .. }) =
+                        event;
+                    *at > w.after && key.starts_with(&w.prefix)
+                })
+                .map(|(_, event)| event.clone())
+                .collect();
+            let refused = self.faults.store_refuses.contains(&w.node);
+            if refused || (events.is_empty() && now < w.until) {
+                rest.push(w);
+                continue;
+            }
+            let result = Ok(StoreReply::Changed(ws::Changes { revision, events }));
+            let command = Command::StoreDone { op: w.op, result };
+            self.at(LATENCY, Ev::Command(w.node, w.epoch, command));
+        }
+        self.store.watches = rest;
+    }
+
+    // The cloud.
+
+    fn cloud_call(&mut self, call: CloudCall) -> Result<CloudReply, CloudError> {
+        if self.faults.cloud_down {
+            return Err(CloudError::Failed("trouble".into()));
+        }
+        match call {
+            CloudCall::Types => Ok(CloudReply::Types(wc::MachineTypes {
+                types: vec![wc::MachineType {
+                    name: "g8".into(),
+                    cpus: 16.0,
+                    gpus: 4.0,
+                    memory_gb: 64.0,
+                    cache_gb: 100.0,
+                    fetch_gb_per_s: 0.4,
+                    price: 4.0,
+                    spot_price: 1.0,
+                    boot_s: 20.0,
+                    zones: vec!["east".into(), "west".into()],
+                }],
+            })),
+            CloudCall::Rent(rent) => {
+                if let Some(names) = self.requests.get(&rent.request) {
+                    return Ok(CloudReply::Rented(names.clone()));
+                }
+                let mut names = Vec::new();
+                for _ in 0..rent.count {
+                    let name = format!("host-{:06}", self.rented);
+                    self.rented += 1;
+                    self.workers
+                        .insert(name.clone(), Worker::new(&rent.zone, self.now + BOOT));
+                    self.at(BOOT, Ev::Send(name.clone()));
+                    names.push(name);
+                }
+                self.requests.insert(rent.request, names.clone());
+                Ok(CloudReply::Rented(names))
+            }
+            CloudCall::Return(names) => {
+                for name in names {
+                    self.workers.remove(&name);
+                    self.returned.push(name);
+                }
+                Ok(CloudReply::Returned)
+            }
+            CloudCall::List { .. } => {
+                let now = self.now;
+                let listed = |(id, w): (&String, &Worker)| wc::ListedMachine {
+                    id: id.clone(),
+                    machine_type: "g8".into(),
+                    zone: w.zone.clone(),
+                    spot: false,
+                    state: wc::MachineState::Running,
+                    age_s: (now + BOOT).saturating_sub(w.up_at) as f64 / 1000.0,
+                };
+                let machines = self.workers.iter().map(listed).collect();
+                Ok(CloudReply::Listed(wc::MachineList {
+                    machines,
+                    more: false,
+                }))
+            }
+        }
+    }
+
+    // The workers.
+
+    fn send_report(&mut self, name: &str) {
+        let (now, hung) = (self.now, self.faults.hung.contains(name));
+        let Some(w) = self.workers.get_mut(name) else {
+            return;
+        };
+        if hung || w.busy {
+            return self.at(500, Ev::Send(name.into()));
+        }
+        w.seq += 1;
+        w.busy = true;
+        w.sent = now;
+        let report = Report {
+            machine: name.into(),
+            addr: format!("127.0.0.1:{}", name[5..].parse::<u16>().unwrap()),
+            machine_type: "g8".into(),
+            zone: w.zone.clone(),
+            spot: false,
+            session: w.session,
+            seq: w.seq,
+            token: w.token,
+            notice_s: None,
+            tasks: w
+                .tasks
+                .iter()
+                .map(|(task, t)| Task {
+                    task: task.clone(),
+                    attempt: t.attempt,
+                    state: t.state,
+                    why: t.why,
+                    saved: None,
+                })
+                .collect(),
+        };
+        let (node, seq) = (w.node, w.seq);
+        let epoch = self.nodes[node].epoch;
+        self.at(WORKER_TIMEOUT, Ev::Receive(name.into(), seq, None));
+        if self.reaches(name, node) && self.nodes[node].engine.is_some() {
+            self.order += 1;
+            let reply = self.order;
+            self.replies.insert(reply, (name.into(), seq));
+            let command = Command::Report { report, reply };
+            self.at(LATENCY, Ev::Command(node, epoch, command));
+        }
+    }
+
+    fn receive(&mut self, name: &str, seq: u64, reply: Option<Reply>) {
+        let (now, nodes) = (self.now, self.nodes.len());
+        if self.faults.hung.contains(name) {
+            return;
+        }
+        let Some(w) = self.workers.get_mut(name) else {
+            return;
+        };
+        // An answer counts only for the report in flight.
+        if !w.busy || w.seq < seq || (reply.is_none() && w.sent + WORKER_TIMEOUT > now) {
+            return;
+        }
+        w.busy = false;
+        let mut next = 3000;
+        match reply {
+            Some(Reply::Orders(orders)) => {
+                if orders.token >= w.token {
+                    let before = w.tasks.len();
+                    if orders.token > w.token {
+                        next = 500;
+                    }
+                    w.token = orders.token;
+                    w.answered = w.sent;
+                    self.execute(name, &orders.orders);
+                    if self
+                        .workers
+                        .get(name)
+                        .is_some_and(|w| w.tasks.len() != before)
+                    {
+                        next = 500;
+                    }
+                }
+            }
+            Some(Reply::Elsewhere(Some(to))) => {
+                w.node = to[1..].parse().unwrap();
+                next = 100;
+            }
+            _ => {
+                w.node = (w.node + 1) % nodes;
+                next = 1000;
+            }
+        }
+        self.at(next, Ev::Send(name.into()));
+    }
+
+    fn execute(&mut self, name: &str, orders: &[Order]) {
+        for order in orders {
+            match order {
+                Order::Start { task, attempt } => self.launch(name, task, *attempt),
+                Order::Stop { task, attempt, .. } => {
+                    let Some(w) = self.workers.get_mut(name) else {
+                        return;
+                    };
+                    if let Some(t) = w.tasks.get_mut(task).filter(|t| t.attempt == *attempt) {
+                        t.stop = true;
+                    }
+                }
+                Order::Forget { task, attempt } => {
+                    let Some(w) = self.workers.get_mut(name) else {
+                        return;
+                    };
+                    let over =
+                        |t: &OnMachine| t.attempt == *attempt && t.state == TaskState::Exited;
+                    if w.tasks.get(task).is_some_and(over) {
+                        w.tasks.remove(task);
+                    }
+                }
+            }
+        }
+        self.work();
+    }
+
+    fn launch(&mut self, name: &str, task: &str, attempt: u64) {
+        let now = self.now;
+        let (id, _) = task.rsplit_once('/').unwrap();
+        let Some(w) = self.workers.get_mut(name) else {
+            return;
+        };
+        if w.tasks.get(task).is_some_and(|t| t.attempt == attempt) {
+            return;
+        }
+        let fresh = OnMachine {
+            attempt,
+            since: now,
+            state: TaskState::Fetching,
+            why: None,
+            stop: false,
+        };
+        w.tasks.insert(task.into(), fresh);
+        self.starts += 1;
+        let on = |w: &Worker| {
+            w.tasks
+                .get(task)
+                .is_some_and(|t| t.state != TaskState::Exited)
+        };
+        if self.workers.values().filter(|w| on(w)).count() > 1 {
+            self.broken.push(format!("{now}: ran_twice {task}"));
+        }
+        if let Some(at) = self.cancelled.get(id).filter(|at| now > **at + 42_000) {
+            self.broken
+                .push(format!("{now}: ran_cancelled {task} since {at}"));
+        }
+        let live = |(task, t): (&String, &OnMachine)| {
+            let job = &self.jobs[task.rsplit_once('/').unwrap().0];
+            if t.state == TaskState::Exited {
+                0.0
+            } else {
+                job.gpus
+            }
+        };
+        let used: f64 = self
+            .workers
+            .values()
+            .flat_map(|w| w.tasks.iter().map(live))
+            .sum();
+        // The sample's one team may use 8 GPUs.
+        if used > 8.0 {
+            self.broken.push(format!("{now}: quota {used}"));
+        }
+        let here: f64 = self.workers[name].tasks.iter().map(live).sum();
+        if here > 4.0 {
+            self.broken.push(format!("{now}: {name} holds {here} GPUs"));
+        }
+    }
+
+    /// Lets the workers' tasks go on.
+    fn work(&mut self) {
+        let now = self.now;
+        for (name, w) in &mut self.workers {
+            if self.faults.hung.contains(name) {
+                continue;
+            }
+            if now >= w.up_at && now.saturating_sub(w.answered.max(w.up_at)) > WORKER_LEASE {
+                w.session += 1;
+                w.answered = now;
+                w.tasks.clear();
+            }
+            let sick = self.faults.sick.contains(name);
+            for (task, t) in &mut w.tasks {
+                let (id, _) = task.rsplit_once('/').unwrap();
+                let job = &self.jobs[id];
+                let fetched = w.images.contains(&job.image) || now >= t.since + FETCH;
+                let run = (job.estimate_s * 1000.0) as Ms;
+                let exit = |t: &mut OnMachine, why| {
+                    t.state = TaskState::Exited;
+                    t.why = Some(why);
+                };
+                if t.state == TaskState::Exited {
+                    continue;
+                } else if t.stop {
+                    exit(t, Why::Stopped);
+                } else if t.state == TaskState::Fetching && fetched {
+                    w.images.insert(job.image.clone());
+                    t.state = TaskState::Running;
+                    t.since = now;
+                    if sick || self.faults.faulty.contains(id) {
+                        exit(t, Why::Error);
+                    }
+                } else if t.state == TaskState::Running && run > 0 && now >= t.since + run {
+                    exit(t, Why::Done);
+                }
+            }
+            for (task, t) in &w.tasks {
+                let (id, _) = task.rsplit_once('/').unwrap();
+                let late = self.cancelled.get(id).is_some_and(|at| now > at + 42_000);
+                if late && t.state != TaskState::Exited {
+                    self.broken.push(format!("{now}: ran_cancelled {task}"));
+                }
+            }
+        }
+    }
+}
+
+impl Worker {
+    fn new(zone: &str, up_at: Ms) -> Worker {
+        Worker {
+            zone: zone.into(),
+            node: 0,
+            up_at,
+            session: 1,
+            seq: 0,
+            token: 0,
+            sent: 0,
+            answered: up_at,
+            busy: false,
+            tasks: BTreeMap::new(),
+            images: BTreeSet::new(),
+        }
+    }
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -40,7 +40,7 @@
     /// Jobs to expect while a machine boots, as copies of the latest ones of their class, for
     /// classes with an aim that a job misses if a machine has to be rented for it first.
     pub fn expected(&self, now: Ms, types: &Types, objectives: &[Objective]) -> Vec<Spec> {
-        let window = now.min(k::ARRIVALS_MS).max(1);
+        let window = now.clamp(1, k::ARRIVALS_MS);
         let mut classes: BTreeMap<&Arc<str>, Vec<&Spec>> = BTreeMap::new();
         for (at, spec) in self.seen.iter().rev() {
             if now.saturating_sub(*at) <= window {
