--- a/src/constants.rs
+++ b/src/constants.rs
@@ -149,3 +149,8 @@
 /// of each class, short enough to follow a burst.
 pub const ARRIVALS_MOST: usize = 500;
 pub const ARRIVALS_MS: u64 = 180_000;
+/// A job waits this long, ms, before others are stopped for it: room often comes up by itself.
+pub const PREEMPT_AFTER_MS: u64 = 3_000;
+/// And this long before more are stopped for it: stopping with a checkpoint, reporting it and
+/// starting take several seconds.
+pub const PREEMPT_MS: u64 = 15_000;
--- a/src/engine/hiring.rs
+++ b/src/engine/hiring.rs
@@ -4,8 +4,8 @@
 use crate::cloud::{CloudCall, CloudError, CloudReply};
 use crate::constants as k;
 use crate::fleet::{self, Waiting, Wanted};
-use crate::model::{Job, Machine, MachineId, MachinePhase, Ms, Phase, TaskId};
-use crate::placement::Unplaced;
+use crate::model::{Job, JobId, Machine, MachineId, MachinePhase, Ms, Phase, TaskId};
+use crate::placement::{Unplaced, preempt};
 use crate::wire::cloud::{MachineState, Rent};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -26,6 +26,8 @@
     list_after: Option<String>,
     returns: Retry,
     upkeep_at: Ms,
+    /// Jobs for which tasks were stopped a moment ago.
+    preempted: BTreeMap<JobId, Ms>,
     /// Idle machines that are kept for what is expected.
     keep: BTreeSet<MachineId>,
     /// When each zone was last found cut off.
@@ -45,6 +47,7 @@
             list_after: None,
             returns: Retry::default(),
             upkeep_at: now,
+            preempted: BTreeMap::new(),
             keep: BTreeSet::new(),
             cut: BTreeMap::new(),
         }
@@ -80,6 +83,7 @@
             return;
         }
         leader.hiring.hire_at = now + k::UPKEEP_EVERY_MS;
+        self.preempt_when_due();
         let wanted = self.wanted();
         if let Some(leader) = self.leader_mut() {
             leader.hiring.keep = wanted.keep;
@@ -154,6 +158,82 @@
         fleet::wanted(&waiting, slots, types, &offers, most)
     }
 
+    /// Makes room for the first waiting jobs where renting can't: the cloud has refused what
+    /// they could use, and nothing expected has room for them.
+    fn preempt_when_due(&mut self) {
+        let now = self.now;
+        let Some(leader) = self.leader() else { return };
+        if leader
+            .hiring
+            .refused
+            .values()
+            .all(|(until, _)| now >= *until)
+        {
+            return;
+        }
+        let guaranteed = self.guaranteed();
+        let candidates = self.candidates();
+        let mut slots = self.slots(|m| self.is_expected(m));
+        let running = preempt::running(self.jobs.iter(), |id| guaranteed.contains(id));
+        let mut chosen = None;
+        for unplaced in &leader.hiring.demand {
+            let Some(c) = candidates.iter().find(|c| *c.id == unplaced.job) else {
+                continue;
+            };
+            let tried = leader
+                .hiring
+                .preempted
+                .get(c.id)
+                .is_some_and(|at| now < at + k::PREEMPT_MS);
+            let fresh = now.saturating_sub(c.job.seen) < k::PREEMPT_AFTER_MS;
+            let waiting = [Waiting {
+                job: c.job,
+                tasks: unplaced.tasks,
+                zones: c.zones.clone(),
+            }];
+            let most = if c.job.is_gang() { unplaced.tasks } else { 1 };
+            // Room that will soon be there is first come, first served: it is taken off for
+            // the jobs after this one.
+            let short = !fleet::has_room(&waiting[0], &mut slots);
+            if tried || fresh || !short {
+                continue;
+            }
+            let real = self.slots(Machine::takes_tasks);
+            let victims = preempt::victims(c, most, &real, &running);
+            if !victims.is_empty() {
+                chosen = Some((c.id.clone(), victims));
+                break;
+            }
+        }
+        let Some((id, victims)) = chosen else { return };
+        tracing::info!(job = %id, victims = victims.len(), "stopping tasks to make room");
+        if let Some(leader) = self.leader_mut() {
+            leader
+                .hiring
+                .preempted
+                .retain(|_, at| now < *at + k::PREEMPT_MS);
+            leader.hiring.preempted.insert(id, now);
+        }
+        for task in victims {
+            self.stop_task(&task);
+        }
+    }
+
+    /// Tells a task to save and stop; of a gang, all of them.
+    fn stop_task(&mut self, task: &TaskId) {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let grace_s = job.spec.grace_s();
+        if job.is_gang() {
+            job.stop_all(grace_s, now);
+        } else if let Some(placement) = job.live.get_mut(&task.index) {
+            placement.order_stop(grace_s, now);
+        }
+        self.send_stops(&task.job);
+    }
+
     /// Whether a machine takes tasks or soon will. One that is overdue is not counted on.
     fn is_expected(&self, machine: &Machine) -> bool {
         let boot = self
@@ -337,27 +417,18 @@
 
     /// Tasks on machines that will be taken save while there is time.
     fn leave_taken(&mut self, tasks: Vec<(TaskId, Ms)>) {
-        let now = self.now;
         for (task, left) in tasks {
-            let Some(job) = self.jobs.get_mut(&task.job) else {
+            let Some(job) = self.jobs.get(&task.job) else {
                 continue;
             };
             let grace_s = job.spec.grace_s();
             if left > (grace_s + 1) * 1000 + k::SAFETY_MARGIN_MS || !job.is_open() {
                 continue;
             }
-            let gang = job.is_gang();
-            let Some(placement) = job.live.get_mut(&task.index) else {
-                continue;
-            };
-            if placement.stop.is_some() {
-                continue;
-            }
-            placement.order_stop(grace_s, now);
-            if gang {
-                job.stop_all(grace_s, now);
+            let stopping = job.live.get(&task.index).is_none_or(|p| p.stop.is_some());
+            if !stopping {
+                self.stop_task(&task);
             }
-            self.send_stops(&task.job);
         }
     }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -179,6 +179,16 @@
         .sum()
 }
 
+/// Whether the tasks fit into `slots` as they are; takes the room if they do.
+pub fn has_room(one: &Waiting<'_>, slots: &mut Vec<Slot>) -> bool {
+    let before = slots.clone();
+    let all = fit(one, slots, &Types::new(), &[]) == one.tasks;
+    if !all {
+        *slots = before;
+    }
+    all
+}
+
 /// Fits tasks into `slots`, adding new ones; returns how many found room.
 fn fit(one: &Waiting<'_>, slots: &mut Vec<Slot>, types: &Types, offers: &[Offer]) -> u32 {
     let spec = &one.job.spec;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -4,6 +4,8 @@
 //! Each task goes to the fitting machine that is left fullest, within the rules on types,
 //! zones and kinds of machine and the team's limit.
 
+pub mod preempt;
+
 use crate::model::{Job, JobId, MachineId, Resources, Spec};
 use crate::settings::Limit;
 use crate::wire::user::Kind;
@@ -310,7 +312,7 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub mod tests {
     use super::*;
     use crate::model::Phase;
     use crate::wire::user::tests::job as wire_job;
