--- a/src/constants.rs
+++ b/src/constants.rs
@@ -154,3 +154,6 @@
 /// And this long before more are stopped for it: stopping with a checkpoint, reporting it and
 /// starting take several seconds.
 pub const PREEMPT_MS: u64 = 15_000;
+/// A task that started less than this long ago, ms, is not stopped for others: by the protocol
+/// a start counts only if the task is left alone for 30 s.
+pub const SETTLED_MS: u64 = 30_000;
--- a/src/engine/hiring.rs
+++ b/src/engine/hiring.rs
@@ -174,7 +174,7 @@
         let guaranteed = self.guaranteed();
         let candidates = self.candidates();
         let mut slots = self.slots(|m| self.is_expected(m));
-        let running = preempt::running(self.jobs.iter(), |id| guaranteed.contains(id));
+        let running = preempt::running(self.jobs.iter(), |id| guaranteed.contains(id), now);
         let mut chosen = None;
         for unplaced in &leader.hiring.demand {
             let Some(c) = candidates.iter().find(|c| *c.id == unplaced.job) else {
--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -4,7 +4,8 @@
 //! gives way, whatever its priority, to a job within another team's guarantee.
 
 use super::{Candidate, Slot, allowed, zone_allows};
-use crate::model::{Job, JobId, MachineId, Resources, TaskId};
+use crate::constants::SETTLED_MS;
+use crate::model::{Job, JobId, MachineId, Ms, Placement, Resources, TaskId};
 use crate::wire::user::Priority;
 use std::collections::BTreeMap;
 
@@ -102,11 +103,14 @@
 pub fn running<'a>(
     jobs: impl Iterator<Item = (&'a JobId, &'a Job)>,
     guaranteed: impl Fn(&JobId) -> bool,
+    now: Ms,
 ) -> Vec<Victim<'a>> {
     let mut victims = Vec::new();
     for (id, job) in jobs.filter(|(_, job)| job.is_open()) {
         let guaranteed = guaranteed(id);
-        for (index, placement) in job.live.iter().filter(|(_, p)| p.stop.is_none()) {
+        // A task that has just started has gained nothing yet and its start would not count.
+        let settled = |p: &Placement| p.stop.is_none() && now >= p.since + SETTLED_MS;
+        for (index, placement) in job.live.iter().filter(|(_, p)| settled(p)) {
             victims.push(Victim {
                 task: TaskId {
                     job: id.clone(),
@@ -124,7 +128,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::model::{Phase, Placement, Spec, Stage};
+    use crate::model::{Phase, Spec, Stage};
     use crate::wire::user::{Kind, tests::job as wire_job};
     use crate::wire::worker::TaskState;
 
@@ -161,7 +165,7 @@
         }
         let jobs = ids.iter().zip(theirs.iter().map(|(_, job, _)| *job));
         let within = |id: &JobId| theirs.iter().any(|(name, _, g)| *g && *name == &*id.0);
-        let running = running(jobs, within);
+        let running = running(jobs, within, SETTLED_MS);
         let id = JobId::from("run-0");
         let candidate = Candidate {
             id: &id,
