--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use tracing_subscriber::filter::LevelFilter;
+use umbervale::node::Node;
 use umbervale::settings::Settings;
 
 /// A cluster scheduler: accepts jobs, rents machines and places tasks on them.
@@ -61,7 +62,8 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
-    let ended = runtime.and_then(|runtime| runtime.block_on(umbervale::node::run(settings)));
+    let ended = runtime
+        .and_then(|runtime| runtime.block_on(async { Node::bind(settings).await?.serve().await }));
     if let Err(e) = ended {
         tracing::error!("{e}");
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -11,6 +11,7 @@
 use crate::workers::WorkerClient;
 use std::collections::HashMap;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -60,48 +61,68 @@
     }
 }
 
-/// Runs a node until an error on its listeners.
-pub async fn run(settings: Settings) -> io::Result<()> {
-    let settings = Arc::new(settings);
-    let front = TcpListener::bind(settings.front).await?;
-    let back = TcpListener::bind(settings.back).await?;
-    tracing::info!(node = settings.node, zone = settings.zone, "starting");
-    let http = HttpClient::default();
-    let store = Arc::new(StoreClient::new(http.clone(), &settings));
-    let cloud = Arc::new(CloudClient::new(http.clone(), &settings));
-    let workers = WorkerClient::new(http);
-    let (commands, inputs) = Commands::new();
-    let (show, view) = watch::channel(View::default());
-    let link = |p: &crate::settings::Peer| Link::new(p.node.clone(), p.addr);
-    let peers: Arc<Vec<Link>> = Arc::new(settings.peers.iter().map(link).collect());
-    let seed = rand::random();
-    tracing::debug!(seed, "engine");
-    let engine = Engine::new(settings.clone(), seed);
-    let driver = Driver {
-        store: store.clone(),
-        cloud,
-        workers,
-        commands: commands.clone(),
-    };
-    tokio::spawn(driver.run(engine, inputs, show));
-    for at in 0..peers.len() {
-        tokio::spawn(announce(
-            settings.node.clone(),
-            peers.clone(),
-            at,
+/// A node whose listeners are bound.
+pub struct Node {
+    settings: Arc<Settings>,
+    front: TcpListener,
+    back: TcpListener,
+}
+
+impl Node {
+    pub async fn bind(settings: Settings) -> io::Result<Node> {
+        Ok(Node {
+            front: TcpListener::bind(settings.front).await?,
+            back: TcpListener::bind(settings.back).await?,
+            settings: Arc::new(settings),
+        })
+    }
+
+    /// Where users and workers reach it.
+    pub fn front(&self) -> io::Result<SocketAddr> {
+        self.front.local_addr()
+    }
+
+    /// Runs until an error on a listener.
+    pub async fn serve(self) -> io::Result<()> {
+        let Node {
+            settings,
+            front,
+            back,
+        } = self;
+        let node = &settings.node;
+        tracing::info!(node, zone = settings.zone, "starting");
+        let http = HttpClient::default();
+        let store = Arc::new(StoreClient::new(http.clone(), &settings));
+        let cloud = Arc::new(CloudClient::new(http.clone(), &settings));
+        let workers = WorkerClient::new(http);
+        let (commands, inputs) = Commands::new();
+        let (show, view) = watch::channel(View::default());
+        let link = |p: &crate::settings::Peer| Link::new(p.node.clone(), p.addr);
+        let peers: Arc<Vec<Link>> = Arc::new(settings.peers.iter().map(link).collect());
+        let seed = rand::random();
+        tracing::info!(seed, "engine");
+        let engine = Engine::new(settings.clone(), seed);
+        let driver = Driver {
+            store: store.clone(),
+            cloud,
+            workers,
+            commands: commands.clone(),
+        };
+        tokio::spawn(driver.run(engine, inputs, show));
+        for at in 0..peers.len() {
+            let (view, commands) = (view.clone(), commands.clone());
+            tokio::spawn(announce(node.clone(), peers.clone(), at, view, commands));
+        }
+        tokio::spawn(serve_peers(
+            node.clone(),
+            back,
             view.clone(),
             commands.clone(),
         ));
+        let connections = settings.front_connections();
+        let api = Api::new(settings, store, commands, view, peers);
+        axum::serve(LimitedListener::new(front, connections), api.router()).await
     }
-    tokio::spawn(serve_peers(
-        settings.node.clone(),
-        back,
-        view.clone(),
-        commands.clone(),
-    ));
-    let connections = settings.front_connections();
-    let api = Api::new(settings, store, commands, view, peers);
-    axum::serve(LimitedListener::new(front, connections), api.router()).await
 }
 
 struct Driver {
--- a/src/wire/worker.rs
+++ b/src/wire/worker.rs
@@ -110,7 +110,7 @@
 /// The answer that sends a worker elsewhere.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Elsewhere {
-    #[serde(rename = "foreman", skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "foreman", default, skip_serializing_if = "Option::is_none")]
     pub report_to: Option<String>,
 }
 
--- /dev/null
+++ b/tests/http.rs
@@ -0,0 +1,449 @@
+//! The real HTTP layers: a node on ephemeral loopback ports, with a state service and a cloud
+//! written here from the protocol.
+
+// Helpers of a test may panic: that is how it fails.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+use axum::Router;
+use axum::body::Bytes;
+use axum::extract::{Path, Query, State};
+use axum::http::StatusCode;
+use axum::response::IntoResponse;
+use axum::routing::{get, post};
+use hyper::Method;
+use rmpv::Value;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use umbervale::http::{Answer, HttpClient};
+use umbervale::node::Node;
+use umbervale::settings::Settings;
+use umbervale::wire::worker::{Elsewhere, Orders, Report};
+use umbervale::wire::{decode, encode, store as ws};
+
+#[derive(Default)]
+struct Kv {
+    keys: BTreeMap<String, (Value, u64)>,
+    revision: u64,
+    log: Vec<(u64, ws::Event)>,
+    leases: u64,
+}
+
+#[derive(Default)]
+struct Standin {
+    kv: Mutex<Kv>,
+    changed: Notify,
+    down: AtomicBool,
+}
+
+type Shared = State<Arc<Standin>>;
+
+fn map(fields: Vec<(&str, Value)>) -> Vec<u8> {
+    let fields = fields
+        .into_iter()
+        .map(|(k, v)| (Value::from(k), v))
+        .collect();
+    rmp_serde::to_vec(&Value::Map(fields)).unwrap()
+}
+
+async fn one(State(s): Shared, Path(key): Path<String>) -> (StatusCode, Vec<u8>) {
+    if s.down.load(Ordering::Relaxed) {
+        return (StatusCode::SERVICE_UNAVAILABLE, Vec::new());
+    }
+    let kv = s.kv.lock().unwrap();
+    match kv.keys.get(&key) {
+        Some((value, version)) => {
+            let item = ws::Item {
+                key,
+                value: value.clone(),
+                version: *version,
+            };
+            (StatusCode::OK, encode(&item))
+        }
+        None => (
+            StatusCode::NOT_FOUND,
+            map(vec![("ledger_rev", kv.revision.into())]),
+        ),
+    }
+}
+
+async fn list(State(s): Shared, Query(q): Query<HashMap<String, String>>) -> Vec<u8> {
+    let kv = s.kv.lock().unwrap();
+    let items = kv
+        .keys
+        .iter()
+        .filter(|(k, _)| k.starts_with(&q["under"]))
+        .map(|(k, (value, version))| ws::Item {
+            key: k.clone(),
+            value: value.clone(),
+            version: *version,
+        })
+        .collect();
+    encode(&ws::Listing {
+        items,
+        more: false,
+        revision: kv.revision,
+    })
+}
+
+async fn commit(State(s): Shared, body: Bytes) -> (StatusCode, Vec<u8>) {
+    if s.down.load(Ordering::Relaxed) {
+        return (StatusCode::SERVICE_UNAVAILABLE, Vec::new());
+    }
+    let txn: ws::Txn = decode(&body).unwrap();
+    let mut kv = s.kv.lock().unwrap();
+    let version = |kv: &Kv, key: &str| kv.keys.get(key).map_or(0, |(_, v)| *v);
+    let failed: Vec<String> = txn
+        .conditions
+        .iter()
+        .filter(|c| version(&kv, &c.key) != c.version)
+        .map(|c| c.key.clone())
+        .collect();
+    if !failed.is_empty() {
+        return (StatusCode::CONFLICT, encode(&ws::Conflict { failed }));
+    }
+    kv.revision += 1;
+    let revision = kv.revision;
+    for write in txn.writes {
+        let event = match write {
+            ws::Write::Put { put, value, .. } => {
+                kv.keys.insert(put.clone(), (value.clone(), revision));
+                ws::Event::Put {
+                    put,
+                    value,
+                    version: revision,
+                }
+            }
+            ws::Write::Delete { delete } => {
+                kv.keys.remove(&delete);
+                ws::Event::Delete {
+                    delete,
+                    version: revision,
+                }
+            }
+        };
+        kv.log.push((revision, event));
+    }
+    s.changed.notify_waiters();
+    (StatusCode::OK, encode(&ws::Revision { revision }))
+}
+
+async fn hold(State(s): Shared) -> Vec<u8> {
+    let mut kv = s.kv.lock().unwrap();
+    kv.leases += 1;
+    encode(&ws::Lease { lease: kv.leases })
+}
+
+async fn touch() -> StatusCode {
+    StatusCode::OK
+}
+
+async fn changes(State(s): Shared, Query(q): Query<HashMap<String, String>>) -> Vec<u8> {
+    let after: u64 = q["after"].parse().unwrap();
+    let wait = Duration::from_millis(q["block_ms"].parse().unwrap());
+    let changed = s.changed.notified();
+    let find = || {
+        let kv = s.kv.lock().unwrap();
+        let events: Vec<ws::Event> = kv
+            .log
+            .iter()
+            .filter(|(at, _)| *at > after)
+            .map(|(_, e)| e.clone())
+            .collect();
+        ws::Changes {
+            revision: kv.revision,
+            events,
+        }
+    };
+    let now = find();
+    if now.events.is_empty() {
+        let _ = tokio::time::timeout(wait, changed).await;
+    }
+    encode(&find())
+}
+
+async fn flavors() -> impl IntoResponse {
+    let zones = Value::Array(vec!["east".into(), "west".into()]);
+    let fields = vec![
+        ("name", "g8".into()),
+        ("vcpus", 16.into()),
+        ("gpus", Value::from(4.0)),
+        ("memory_gb", 64.into()),
+        ("cache_gb", 100.into()),
+        ("fetch_gb_per_s", Value::from(0.4)),
+        ("price", 4.into()),
+        ("spot_price", 1.into()),
+        ("ready_s", 20.into()),
+        ("yards", zones),
+    ];
+    let fields = fields
+        .into_iter()
+        .map(|(k, v): (&str, Value)| (k.into(), v))
+        .collect();
+    map(vec![("models", Value::Array(vec![Value::Map(fields)]))])
+}
+
+async fn no_machines() -> Vec<u8> {
+    map(vec![
+        ("hosts", Value::Array(Vec::new())),
+        ("truncated", false.into()),
+    ])
+}
+
+async fn serve(router: Router) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    addr
+}
+
+struct Client {
+    http: HttpClient,
+    front: SocketAddr,
+}
+
+impl Client {
+    async fn send(&self, method: Method, path: &str, body: Option<Vec<u8>>) -> Answer {
+        self.http
+            .call(method, self.front, path, body, Duration::from_secs(5))
+            .await
+            .unwrap()
+    }
+
+    async fn status(&self, method: Method, path: &str, body: Option<Vec<u8>>) -> u16 {
+        self.send(method, path, body).await.status
+    }
+
+    async fn job_state(&self, path: &str) -> String {
+        let answer = self.send(Method::GET, path, None).await;
+        let value: Value = rmp_serde::from_slice(&answer.body).unwrap();
+        let fields = value.as_map().unwrap();
+        let state = fields.iter().find(|(k, _)| k.as_str() == Some("status"));
+        state.unwrap().1.as_str().unwrap().to_owned()
+    }
+}
+
+async fn node() -> (Client, Arc<Standin>) {
+    let standin = Arc::new(Standin::default());
+    let state = serve(
+        Router::new()
+            .route("/store", get(list))
+            .route("/store/{*key}", get(one))
+            .route("/commit", post(commit))
+            .route("/holds", post(hold))
+            .route("/holds/{id}/touch", post(touch))
+            .route("/changes", get(changes))
+            .with_state(standin.clone()),
+    )
+    .await;
+    let cloud = serve(
+        Router::new()
+            .route("/flavors", get(flavors))
+            .route("/machines", get(no_machines)),
+    )
+    .await;
+    let text = format!(
+        r#"
+node_name = "n0"
+site = "east"
+front = "127.0.0.1:0"
+back = "127.0.0.1:0"
+[services]
+cloud = "{cloud}"
+state = "{state}"
+[cluster]
+zones = ["east", "west"]
+[[cluster.teams]]
+name = "vision"
+gpus_max = 8.0
+[cluster.workers]
+report_s = 3.0
+lease_s = 17.0
+gang_wait_s = 30.0
+gang_peer_s = 6.0
+cancel_s = 42.0
+[cluster.state]
+rps = 1000.0
+write_rps = 1000.0
+value_kb = 8.0
+txn_ops = 24
+[cluster.cloud]
+rps = 100.0
+list_lag_s = 1.0
+"#
+    );
+    let node = Node::bind(Settings::parse(&text, "test").unwrap())
+        .await
+        .unwrap();
+    let client = Client {
+        http: HttpClient::default(),
+        front: node.front().unwrap(),
+    };
+    tokio::spawn(node.serve());
+    // Ready as soon as the records and the machine types are read.
+    let ready = async {
+        while client.status(Method::GET, "/ready", None).await != 200 {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(20), ready)
+        .await
+        .expect("ready in time");
+    (client, standin)
+}
+
+fn submission(change: impl Fn(&mut Vec<(Value, Value)>)) -> Vec<u8> {
+    let fields: Vec<(&str, Value)> = vec![
+        ("uid", "run-000412".into()),
+        ("docket", "train".into()),
+        ("crew", "vision".into()),
+        ("form", "array".into()),
+        ("precedence", "normal".into()),
+        ("pieces", 3.into()),
+        ("vcpus", Value::from(4.0)),
+        ("gpus", 1.into()),
+        ("memory_gb", 8.into()),
+        ("plate", "img-1".into()),
+        ("image_gb", Value::from(1.5)),
+        ("models", Value::Nil),
+        ("together", false.into()),
+        ("scatter", false.into()),
+        ("loaners", false.into()),
+        ("expected_s", 30.into()),
+        ("bookmark_s", 0.into()),
+        ("bookmark_cost_s", 0.into()),
+        ("a_new_field", "is ignored".into()),
+    ];
+    let mut fields = fields
+        .into_iter()
+        .map(|(k, v)| (Value::from(k), v))
+        .collect();
+    change(&mut fields);
+    rmp_serde::to_vec(&Value::Map(fields)).unwrap()
+}
+
+fn set(name: &'static str, to: impl Into<Value> + Clone) -> impl Fn(&mut Vec<(Value, Value)>) {
+    move |fields| {
+        for (key, value) in fields.iter_mut() {
+            if key.as_str() == Some(name) {
+                *value = to.clone().into();
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn users_are_answered_as_the_protocol_says() {
+    let (client, standin) = node().await;
+    let post = |body| client.status(Method::POST, "/submissions", Some(body));
+    let good = || submission(|_| {});
+    assert_eq!(post(b"not msgpack".to_vec()).await, 400);
+    assert_eq!(post(rmp_serde::to_vec(&[1, 2]).unwrap()).await, 400);
+    assert_eq!(post(submission(set("pieces", 0))).await, 400);
+    assert_eq!(post(submission(set("vcpus", f64::NAN))).await, 400);
+    assert_eq!(post(submission(set("uid", "job 1"))).await, 400);
+    assert_eq!(post(submission(|f| f.truncate(5))).await, 400);
+    assert_eq!(
+        post(submission(set("plate", "x".repeat(70_000)))).await,
+        400
+    );
+    assert_eq!(post(submission(set("crew", "nobody"))).await, 422);
+    assert_eq!(post(submission(set("gpus", 5))).await, 422);
+    let path = "/submissions/run-000412";
+    assert_eq!(client.status(Method::GET, path, None).await, 404);
+    assert_eq!(
+        client
+            .status(Method::POST, &format!("{path}/cancel"), None)
+            .await,
+        404
+    );
+    assert_eq!(post(good()).await, 201);
+    assert_eq!(post(good()).await, 200);
+    assert_eq!(
+        post(submission(set("gpus", 5))).await,
+        200,
+        "it stays the accepted job"
+    );
+    assert_eq!(
+        post(submission(set("pieces", 0))).await,
+        200,
+        "whatever its repetition says"
+    );
+    assert_eq!(client.job_state(path).await, "queued");
+    assert_eq!(client.status(Method::GET, "/nowhere", None).await, 404);
+    assert_eq!(
+        client.status(Method::DELETE, "/submissions", None).await,
+        405
+    );
+
+    standin.down.store(true, Ordering::Relaxed);
+    assert_eq!(client.status(Method::GET, path, None).await, 503);
+    assert_eq!(post(submission(set("uid", "run-2"))).await, 503);
+    standin.down.store(false, Ordering::Relaxed);
+
+    assert_eq!(
+        client
+            .status(Method::POST, &format!("{path}/cancel"), None)
+            .await,
+        200
+    );
+    assert_eq!(client.job_state(path).await, "aborted");
+    assert_eq!(post(good()).await, 200);
+    standin.down.store(true, Ordering::Relaxed);
+    assert_eq!(
+        client.job_state(path).await,
+        "aborted",
+        "a final state needs no read"
+    );
+}
+
+#[tokio::test]
+async fn workers_get_the_token_or_are_refused() {
+    let (client, _standin) = node().await;
+    assert_eq!(
+        client
+            .status(Method::POST, "/v1/report", Some(b"\x81".to_vec()))
+            .await,
+        400
+    );
+    let mut report = Report {
+        machine: "host-000001".into(),
+        addr: "127.0.0.1:1".into(),
+        machine_type: "g8".into(),
+        zone: "east".into(),
+        spot: false,
+        session: 1,
+        seq: 1,
+        token: 0,
+        notice_s: None,
+        tasks: Vec::new(),
+    };
+    let leads = async {
+        loop {
+            report.seq += 1;
+            let answer = client
+                .send(Method::POST, "/v1/report", Some(encode(&report)))
+                .await;
+            if answer.status == 200 {
+                return decode::<Orders>(&answer.body).unwrap();
+            }
+            assert!([421, 503].contains(&answer.status), "{}", answer.status);
+        }
+    };
+    let orders = tokio::time::timeout(Duration::from_secs(20), leads)
+        .await
+        .expect("leads in time");
+    assert!(orders.token >= 1 && orders.orders.is_empty());
+    // A worker that has seen a later leader is sent away.
+    report.token = orders.token + 1;
+    report.seq += 1;
+    let answer = client
+        .send(Method::POST, "/v1/report", Some(encode(&report)))
+        .await;
+    assert_eq!(answer.status, 421);
+    assert_eq!(decode::<Elsewhere>(&answer.body).unwrap().report_to, None);
+}
