--- a/src/constants.rs
+++ b/src/constants.rs
@@ -157,3 +157,6 @@
 /// A task that started less than this long ago, ms, is not stopped for others: by the protocol
 /// a start counts only if the task is left alone for 30 s.
 pub const SETTLED_MS: u64 = 30_000;
+/// After a take-over, besides two reports, ms: a worker gives up on its old node after 4 s and
+/// needs a second to find the new leader.
+pub const SETTLE_MS: u64 = 5_000;
--- a/src/engine/hiring.rs
+++ b/src/engine/hiring.rs
@@ -74,12 +74,13 @@
             let after = leader.hiring.list_after.clone();
             self.cloud(Op::Machines, CloudCall::List { after });
         }
+        let settling = self.settling();
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
         // Until the first list nobody knows what is rented already; demand must not double it.
         let busy = leader.hiring.renting > 0;
-        if busy || !leader.hiring.listed || now < leader.hiring.hire_at {
+        if busy || !leader.hiring.listed || now < leader.hiring.hire_at || settling {
             return;
         }
         leader.hiring.hire_at = now + k::UPKEEP_EVERY_MS;
@@ -111,6 +112,17 @@
         }
     }
 
+    /// Shortly after a take-over, while machines that surely are up have yet to report here:
+    /// their room is not known. (Renting at once, a new leader doubled the fleet.)
+    fn settling(&self) -> bool {
+        let Some(leader) = self.leader() else {
+            return false;
+        };
+        let long_up = |m: &Machine| m.phase == MachinePhase::Booting && !self.is_booting(m);
+        self.now < leader.since + k::SETTLE_MS + 2 * self.timing.report
+            && leader.machines.values().any(long_up)
+    }
+
     fn wanted(&self) -> Wanted {
         let (Some(leader), Some(types)) = (self.leader(), &self.types) else {
             return Wanted::default();
@@ -234,13 +246,17 @@
         self.send_stops(&task.job);
     }
 
-    /// Whether a machine takes tasks or soon will. One that is overdue is not counted on.
-    fn is_expected(&self, machine: &Machine) -> bool {
+    /// Whether a machine is about to come up. One that is overdue is not counted on.
+    fn is_booting(&self, machine: &Machine) -> bool {
         let boot = self
             .machine_type(&machine.machine_type)
             .map_or(0, |t| t.boot_ms);
         let overdue = self.now.saturating_sub(machine.rented) > 2 * boot;
-        machine.takes_tasks() || (machine.phase == MachinePhase::Booting && !overdue)
+        machine.phase == MachinePhase::Booting && !overdue
+    }
+
+    fn is_expected(&self, machine: &Machine) -> bool {
+        machine.takes_tasks() || self.is_booting(machine)
     }
 
     pub(super) fn on_rented(&mut self, offer: Offer, result: Result<CloudReply, CloudError>) {
--- a/src/engine/leadership.rs
+++ b/src/engine/leadership.rs
@@ -197,6 +197,7 @@
             touch_at: sent + k::LEASE_RENEW_MS,
             touching: false,
             loading: Some(recovery::Part::Work),
+            since: self.now,
             machines: BTreeMap::new(),
             gone: VecDeque::new(),
             rounds: rounds::Rounds::default(),
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -165,6 +165,7 @@
     touch_at: Ms,
     touching: bool,
     loading: Option<recovery::Part>,
+    since: Ms,
     machines: BTreeMap<MachineId, Machine>,
     gone: VecDeque<MachineId>,
     rounds: rounds::Rounds,
--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -113,6 +113,24 @@
     assert_eq!((world.running("run-1"), world.starts), (1, 1));
 }
 
+/// A new leader once rented a whole fleet again, because the machines had not reported to it.
+#[test]
+fn a_take_over_with_work_waiting_rents_nothing_that_is_there() {
+    let mut first = quick("run-1", Kind::Array, 4);
+    first.estimate_s = 400.0;
+    let mut world = world_with(vec![first]);
+    assert!(world.run_until(60_000, |w| w.running("run-1") == 4));
+    world.submit(quick("run-2", Kind::Array, 4));
+    ends_well(&mut world, "run-2", 60_000);
+    world.run(15_000);
+    let machines = world.workers.len() + world.returned.len();
+    let leader = world.leader().unwrap();
+    world.crash(leader);
+    world.submit(quick("run-3", Kind::Array, 4));
+    ends_well(&mut world, "run-3", 60_000);
+    assert_eq!(world.workers.len() + world.returned.len(), machines);
+}
+
 #[test]
 fn commits_without_an_answer_are_found_out_about() {
     for every in 2..5 {
