--- a/src/engine/reports.rs
+++ b/src/engine/reports.rs
@@ -184,6 +184,7 @@
             }
         }
         if task.state == TaskState::Running && !ran {
+            tracing::debug!(task = %id, %machine, "task runs");
             self.note_image(machine, &id.job);
         }
         true
--- a/src/engine/rounds.rs
+++ b/src/engine/rounds.rs
@@ -310,7 +310,8 @@
             return;
         };
         leader.dirty = true;
-        for (job, _, tasks) in &writing.starts {
+        for (job, machine, tasks) in &writing.starts {
+            tracing::debug!(%job, %machine, ?tasks, number = writing.number, "starts written");
             let Some(job) = self.jobs.get_mut(job) else {
                 continue;
             };
