--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -302,8 +302,8 @@
             // Ordinary machines are kept for jobs that may use no others.
             let dear = spec.spot && !slot.spot;
             (
-                slot.image_rank(&spec.image),
                 dear,
+                slot.image_rank(&spec.image),
                 std::cmp::Reverse(full),
                 *at,
             )
