Refusals are forgotten on a return, and after 15 s at most

Cause: after refusals an offer was left alone for up to 40 s, even when machines of that very offer had just been given back.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -103,7 +103,7 @@
 /// After a refused rental of a type, zone and kind, ms before it is asked for again; doubled
 /// at each further refusal up to the most.
 pub const REFUSED_FIRST_MS: u64 = 5_000;
-pub const REFUSED_MOST_MS: u64 = 40_000;
+pub const REFUSED_MOST_MS: u64 = 15_000;
 /// The cloud charges a deleted machine at least this long, ms: returning it sooner saves
 /// nothing.
 pub const MIN_CHARGE_MS: u64 = 60_000;
--- a/src/engine/hiring.rs
+++ b/src/engine/hiring.rs
@@ -467,6 +467,12 @@
         let mut lost = Vec::new();
         for id in names {
             if let Some(machine) = leader.machines.remove(&id) {
+                // What was given back can be had again.
+                leader.hiring.refused.remove(&Offer {
+                    machine_type: machine.machine_type,
+                    zone: machine.zone,
+                    spot: machine.spot,
+                });
                 lost.extend(machine.tasks);
             }
             leader.gone.push_back(id);
