--- a/src/node.rs
+++ b/src/node.rs
@@ -5,7 +5,7 @@
 use crate::constants as k;
 use crate::engine::{Command, Effect, Engine, Reply, ReplyId, View};
 use crate::http::HttpClient;
-use crate::peer::{Announcement, Link, Message, read_frame, write_frame};
+use crate::peer::{Announcement, Link, Message, PeerError, read_frame, write_frame};
 use crate::settings::Settings;
 use crate::store::{StoreClient, Urgency};
 use crate::workers::WorkerClient;
@@ -240,7 +240,13 @@
         let (node, view, commands) = (node.clone(), view.clone(), commands.clone());
         tokio::spawn(async move {
             if let Err(e) = serve_peer(&node, stream, &view, &commands).await {
-                tracing::debug!(%addr, "peer connection closed: {e}");
+                match e {
+                    // Peers come and go; a frame that can't be read is somebody's mistake.
+                    PeerError::Io(_) | PeerError::Timeout => {
+                        tracing::debug!(%addr, "peer connection closed: {e}");
+                    }
+                    _ => tracing::error!(%addr, "peer connection closed: {e}"),
+                }
             }
             drop(slot);
         });
@@ -252,13 +258,13 @@
     mut stream: TcpStream,
     view: &watch::Receiver<View>,
     commands: &Commands,
-) -> Result<(), crate::peer::PeerError> {
+) -> Result<(), PeerError> {
     stream.set_nodelay(true)?;
     loop {
         // A peer that has been silent for several announcements is gone or cut off.
         let message = tokio::time::timeout(10 * k::PEER_EVERY, read_frame(&mut stream))
             .await
-            .unwrap_or(Err(crate::peer::PeerError::Timeout))?;
+            .unwrap_or(Err(PeerError::Timeout))?;
         let answer = match message {
             Message::Announce(said) => {
                 commands.send(Command::Announced(said)).await;
--- a/src/wire/user.rs
+++ b/src/wire/user.rs
@@ -73,6 +73,8 @@
 /// Longest text in a submission (names of teams, images, types); ids of keys stay below the
 /// state service's 200 bytes.
 const MAX_TEXT: usize = 120;
+/// Longest list of machine types, with four bytes for each one's marks.
+const MAX_TYPES_TEXT: usize = 2048;
 
 impl Job {
     /// Checks everything that can be told from the submission alone; the error is a short reason.
@@ -108,8 +110,20 @@
                 return Err(format!("{name}: expected a number from 0 to 1e9"));
             }
         }
-        if self.types.as_ref().is_some_and(|t| t.len() > 64) {
-            return Err("models: expected at most 64".into());
+        // A record must fit into one value of the state service, whatever the user writes.
+        let types = self
+            .types
+            .iter()
+            .flatten()
+            .map(|t| t.len() + 4)
+            .sum::<usize>();
+        if types > MAX_TYPES_TEXT {
+            return Err(format!(
+                "models: expected at most {MAX_TYPES_TEXT} bytes in all"
+            ));
+        }
+        if self.zone.as_ref().is_some_and(|zone| zone.len() > MAX_TEXT) {
+            return Err(format!("yard: expected at most {MAX_TEXT} bytes"));
         }
         Ok(())
     }
@@ -194,6 +208,9 @@
             one.cpus = cpus;
             bad.push(one);
         }
+        let mut long = job("run-1", Kind::Array, 1);
+        long.types = Some(vec!["x".repeat(3000)]);
+        bad.push(long);
         for one in bad {
             assert!(one.check().is_err(), "{one:?}");
         }
