--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -297,3 +297,19 @@
         ends_well(&mut world, &format!("run-{n}"), 200_000);
     }
 }
+
+#[test]
+fn the_largest_array_goes_on_after_a_take_over() {
+    let mut large = quick("run-1", Kind::Array, 100_000);
+    large.estimate_s = 0.5;
+    let mut world = world_with(vec![large]);
+    world.run(90_000);
+    let (before, rounds) = (world.starts, world.keys("rounds/"));
+    assert!(before > 40, "{before} starts");
+    assert!(rounds < 20, "{rounds} open rounds");
+    let leader = world.leader().unwrap();
+    world.crash(leader);
+    world.run(30_000);
+    assert!(world.starts > before + 20);
+    assert_eq!(world.broken, Vec::<String>::new());
+}
--- a/src/engine/tests/world.rs
+++ b/src/engine/tests/world.rs
@@ -534,7 +534,13 @@
             "over the limits"
         );
         let now = self.now;
+        let size = crate::wire::encode(txn).len();
+        assert!(size < 64 * 1024, "a transaction of {size} bytes");
         for write in &txn.writes {
+            if let ws::Write::Put { put, value, .. } = write {
+                let size = crate::wire::encode(value).len();
+                assert!(size < 7 * 1024, "{put} takes {size} bytes");
+            }
             let over = |lease: &u64| {
                 let lease = self.store.leases.get(lease);
                 lease.is_none_or(|(_, until)| *until <= now)
