--- a/src/constants.rs
+++ b/src/constants.rs
@@ -160,3 +160,6 @@
 /// After a take-over, besides two reports, ms: a worker gives up on its old node after 4 s and
 /// needs a second to find the new leader.
 pub const SETTLE_MS: u64 = 5_000;
+/// A leader that has handed over because it could not hear the workers does not stand again for
+/// this long, ms, so that another does.
+pub const HAND_OVER_MS: u64 = 15_000;
--- a/src/engine/hiring.rs
+++ b/src/engine/hiring.rs
@@ -367,6 +367,11 @@
         for zone in cut_off {
             leader.hiring.cut.insert(zone, now);
         }
+        if lost_touch(leader, now, 2 * report_ms + k::SAFETY_MARGIN_MS) {
+            self.step_down("most workers can't be heard");
+            self.campaign.at = now + k::HAND_OVER_MS;
+            return;
+        }
         let mut taken = Vec::new();
         for machine in leader.machines.values_mut() {
             // A zone that can't be reached keeps working while a node there answers in our
@@ -486,3 +491,19 @@
         }
     }
 }
+
+/// Whether most machines that were up have fallen silent together: more likely this node's
+/// trouble than theirs, and another node may be on the side of a cut where they are. (A leader
+/// that had lost only the workers once returned every machine.)
+fn lost_touch(leader: &super::Leader, now: Ms, quiet_ms: Ms) -> bool {
+    let up = || {
+        leader
+            .machines
+            .values()
+            .filter(|m| m.phase == MachinePhase::Up)
+    };
+    let heard = up()
+        .filter(|m| now.saturating_sub(m.seen) <= quiet_ms)
+        .count();
+    up().count() >= 2 && heard * 2 < up().count()
+}
--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -228,6 +228,24 @@
     assert_eq!(world.broken, Vec::<String>::new());
 }
 
+#[test]
+fn a_leader_that_has_lost_the_workers_hands_over() {
+    let mut jobs = vec![
+        quick("run-1", Kind::Service, 4),
+        quick("run-2", Kind::Service, 4),
+    ];
+    jobs[1].spread = true;
+    let mut world = world_with(jobs);
+    assert!(world.run_until(60_000, |w| w.running("run-1") + w.running("run-2") == 8));
+    world.run(5_000);
+    let old = world.leader().unwrap();
+    world.faults.no_workers.insert(old);
+    world.run(45_000);
+    assert_ne!(world.leader(), Some(old));
+    assert_eq!((world.returned.len(), world.starts), (0, 8));
+    assert_eq!(world.broken, Vec::<String>::new());
+}
+
 #[test]
 fn a_hung_machine_is_replaced_without_running_twice() {
     let mut world = world_with(vec![quick("run-1", Kind::Service, 1)]);
--- a/src/engine/tests/world.rs
+++ b/src/engine/tests/world.rs
@@ -40,6 +40,8 @@
     /// Jobs whose tasks fail everywhere.
     pub faulty: BTreeSet<String>,
     pub cloud_down: bool,
+    /// Nodes that can't reach the workers, nor they them.
+    pub no_workers: BTreeSet<usize>,
 }
 
 #[derive(Default)]
@@ -452,6 +454,7 @@
             return false;
         };
         let cut = self.faults.zones_cut && w.zone != self.nodes[node].zone;
+        let cut = cut || self.faults.no_workers.contains(&node);
         !cut && !self.faults.hung.contains(worker) && !self.faults.cut.contains(worker)
     }
 
