--- a/src/engine/hiring.rs
+++ b/src/engine/hiring.rs
@@ -152,7 +152,7 @@
         let objectives = &self.settings.cluster.objectives;
         let expected: Vec<Job> = self
             .arrivals
-            .expected(now, types, objectives)
+            .expected(self.wall, types, objectives)
             .into_iter()
             .map(|spec| Job::new(spec, 0, 0, Phase::Open, now))
             .collect();
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,10 +1,10 @@
 //! What to rent: a pure function from waiting tasks, expected room and offers to rentals.
 
 use crate::constants as k;
-use crate::model::{Job, MachineId, MachineType, Ms, Resources, Spec, Types};
+use crate::model::{Job, JobId, MachineId, MachineType, Resources, Spec, Types};
 use crate::placement::{self, Slot};
 use crate::settings::Objective;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// A type, zone and kind (spot or not) that can be asked for.
@@ -25,25 +25,26 @@
 /// Jobs that arrived lately, from which the near future is guessed.
 #[derive(Debug, Default)]
 pub struct Arrivals {
-    /// Oldest first.
-    seen: VecDeque<(Ms, Spec)>,
+    /// By time of submission (time of day, ms): the same for a node that has just started.
+    seen: BTreeMap<(u64, JobId), Spec>,
 }
 
 impl Arrivals {
-    pub fn note(&mut self, now: Ms, spec: &Spec) {
-        self.seen.push_back((now, spec.clone()));
+    pub fn note(&mut self, submitted: u64, id: &JobId, spec: &Spec) {
+        self.seen.insert((submitted, id.clone()), spec.clone());
         if self.seen.len() > k::ARRIVALS_MOST {
-            self.seen.pop_front();
+            self.seen.pop_first();
         }
     }
 
     /// Jobs to expect while a machine boots, as copies of the latest ones of their class, for
     /// classes with an aim that a job misses if a machine has to be rented for it first.
-    pub fn expected(&self, now: Ms, types: &Types, objectives: &[Objective]) -> Vec<Spec> {
-        let window = now.clamp(1, k::ARRIVALS_MS);
+    pub fn expected(&self, wall: u64, types: &Types, objectives: &[Objective]) -> Vec<Spec> {
+        let first = self.seen.keys().next().map_or(wall, |(at, _)| *at);
+        let window = wall.saturating_sub(first).clamp(1, k::ARRIVALS_MS);
         let mut classes: BTreeMap<&Arc<str>, Vec<&Spec>> = BTreeMap::new();
-        for (at, spec) in self.seen.iter().rev() {
-            if now.saturating_sub(*at) <= window {
+        for ((at, _), spec) in self.seen.iter().rev() {
+            if wall.saturating_sub(*at) <= window {
                 classes.entry(&spec.class).or_default().push(spec);
             }
         }
@@ -315,4 +316,32 @@
         let got = want(Kind::Service, 4, &[], |j| j.spread = true);
         assert_eq!(got.len(), 2, "a spread service needs both zones");
     }
+
+    /// A node that had just started once took all live jobs for arrivals of that moment, and
+    /// rented for as many again.
+    #[test]
+    fn jobs_from_before_a_restart_are_no_arrivals() {
+        let aim = Objective {
+            kind: "wait".into(),
+            class: Some("train".into()),
+            within_s: Some(20.0),
+        };
+        let spec = Spec::read(&wire_job("run-1", Kind::Service, 1));
+        let mut arrivals = Arrivals::default();
+        for n in 0..30 {
+            arrivals.note(1_000_000 + n, &JobId::from(&*format!("run-{n}")), &spec);
+        }
+        let aims = std::slice::from_ref(&aim);
+        let expected = |a: &Arrivals, wall| a.expected(wall, &types(), aims).len();
+        assert_eq!(expected(&arrivals, 1_400_000), 0);
+        for n in 0..18 {
+            arrivals.note(
+                1_220_000 + n * 10_000,
+                &JobId::from(&*format!("run-9{n}")),
+                &spec,
+            );
+        }
+        // One in 10 s, and 45 s (with a margin of a half) from renting to running: 7.
+        assert_eq!(expected(&arrivals, 1_400_000), 7);
+    }
 }
