--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -49,6 +49,15 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn the_example_holds_the_defaults() {
+        let example = include_str!("../../examples/operator.sexp");
+        assert_eq!(
+            Operator::parse(example, "example").unwrap(),
+            Operator::default()
+        );
+    }
+
     #[test]
     fn s_expressions_are_read_and_checked() {
         let o = Operator::parse("((idle_s . 30.5) (spot . #f))", "o.sexp").unwrap();
