--- a/src/engine/hiring.rs
+++ b/src/engine/hiring.rs
@@ -347,7 +347,6 @@
         let idle_ms = (self.settings.operator.idle_s * 1000.0) as u64;
         let silent_ms = self.timing.silent;
         let report_ms = self.timing.report;
-        let confident = self.confident();
         let types = self.types.clone();
         let cut_off: Vec<Arc<str>> = self
             .settings
@@ -372,59 +371,55 @@
             self.campaign.at = now + k::HAND_OVER_MS;
             return;
         }
+        let hiring = &leader.hiring;
         let mut taken = Vec::new();
         for machine in leader.machines.values_mut() {
             // A zone that can't be reached keeps working while a node there answers in our
             // stead: its machines' silence counts from the end of the cut, or from the end of
             // the longest time for which a node may do so. (Counted from their last report,
             // the whole zone was returned the moment the cut ended.)
-            let cut = leader.hiring.cut.get(&machine.zone).copied().unwrap_or(0);
+            let cut = hiring.cut.get(&machine.zone).copied().unwrap_or(0);
             let excused = cut.min(machine.seen + self.timing.grace);
-            let silent = now.saturating_sub(machine.seen.max(excused)) > silent_ms;
-            let quiet = now.saturating_sub(machine.seen);
-            let overdue = machine.taken_at.is_some_and(|at| now > at) && quiet > report_ms;
             let boot_ms = types
                 .as_ref()
                 .and_then(|t| t.get(&machine.machine_type))
-                .map_or(0, |t| (t.boot_ms as f64 * k::BOOT_PATIENCE) as u64)
-                .max(k::BOOT_PATIENCE_MIN_MS);
-            let empty = machine.tasks.is_empty() && machine.strays.is_empty();
-            let kept = leader.hiring.keep.contains(&machine.id);
-            let idle = empty && !kept && now.saturating_sub(machine.idle_since) > idle_ms;
-            let held = now.saturating_sub(machine.rented);
-            let why = match machine.phase {
-                MachinePhase::Booting if silent && !machine.tasks.is_empty() => "silent",
-                // After a take-over every machine is new to this leader, however long it has
-                // been rented: it must have had time to report.
-                MachinePhase::Booting if held > boot_ms && silent => "never came up",
-                // Its time has come and it no longer reports: asking for its return gives the
-                // proof that its tasks are gone without waiting for a lease.
-                MachinePhase::Up if overdue => "taken",
-                MachinePhase::Up if silent => "silent",
-                MachinePhase::Up if machine.aside && empty => "put aside",
-                MachinePhase::Up if idle && held > k::MIN_CHARGE_MS => "idle",
-                _ => "",
+                .map_or(0, |t| (t.boot_ms as f64 * k::BOOT_PATIENCE) as u64);
+            let look = Look {
+                now,
+                report_ms,
+                boot_ms: boot_ms.max(k::BOOT_PATIENCE_MIN_MS),
+                idle_ms,
+                silent: now.saturating_sub(machine.seen.max(excused)) > silent_ms,
+                kept: hiring.keep.contains(&machine.id),
             };
-            if !why.is_empty() {
+            if let Some(why) = look.return_why(machine) {
                 tracing::info!(machine = %machine.id, why, "returning machine");
                 machine.phase = MachinePhase::Returning;
             }
             if let Some(at) = machine.taken_at {
-                taken.extend(
-                    machine
-                        .tasks
-                        .iter()
-                        .map(|t| (t.clone(), at.saturating_sub(now))),
-                );
+                let left = at.saturating_sub(now);
+                taken.extend(machine.tasks.iter().map(|t| (t.clone(), left)));
             }
         }
-        // The machines and everything on them are gone only when the cloud says so; until then
-        // their tasks count as running.
-        let due = confident && leader.hiring.returns.due(now);
+        self.return_machines();
+        self.leave_taken(taken);
+    }
+
+    /// Asks the cloud to take machines back. They and everything on them are gone only when it
+    /// says so; until then their tasks count as running.
+    fn return_machines(&mut self) {
+        let confident = self.confident();
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if !confident || !leader.hiring.returns.due(self.now) {
+            return;
+        }
+        let returning = |m: &&Machine| m.phase == MachinePhase::Returning;
         let back: Vec<MachineId> = leader
             .machines
-            .values_mut()
-            .filter(|m| due && m.phase == MachinePhase::Returning)
+            .values()
+            .filter(returning)
             .take(k::RETURN_MOST)
             .map(|m| m.id.clone())
             .collect();
@@ -433,7 +428,6 @@
             let names = back.iter().map(ToString::to_string).collect();
             self.cloud(Op::Return(back), CloudCall::Return(names));
         }
-        self.leave_taken(taken);
     }
 
     /// Tasks on machines that will be taken save while there is time.
@@ -492,6 +486,42 @@
     }
 }
 
+/// What decides whether a machine is returned.
+struct Look {
+    now: Ms,
+    report_ms: Ms,
+    /// How long it may take to come up.
+    boot_ms: Ms,
+    idle_ms: Ms,
+    silent: bool,
+    /// Expected jobs would use it.
+    kept: bool,
+}
+
+impl Look {
+    fn return_why(&self, machine: &Machine) -> Option<&'static str> {
+        let held = self.now.saturating_sub(machine.rented);
+        let since = |at: Ms| self.now.saturating_sub(at);
+        let past_notice = machine.taken_at.is_some_and(|at| self.now > at);
+        let idle = machine.is_empty() && !self.kept && since(machine.idle_since) > self.idle_ms;
+        match machine.phase {
+            MachinePhase::Booting if self.silent && !machine.tasks.is_empty() => Some("silent"),
+            // After a take-over every machine is new to this leader, however long it has been
+            // rented: it must have had time to report.
+            MachinePhase::Booting if held > self.boot_ms && self.silent => Some("never came up"),
+            // Its time has come and it no longer reports: asking for its return gives the proof
+            // that its tasks are gone without waiting for a lease.
+            MachinePhase::Up if past_notice && since(machine.seen) > self.report_ms => {
+                Some("taken")
+            }
+            MachinePhase::Up if self.silent => Some("silent"),
+            MachinePhase::Up if machine.aside && machine.is_empty() => Some("put aside"),
+            MachinePhase::Up if idle && held > k::MIN_CHARGE_MS => Some("idle"),
+            _ => None,
+        }
+    }
+}
+
 /// Whether most machines that were up have fallen silent together: more likely this node's
 /// trouble than theirs, and another node may be on the side of a cut where they are. (A leader
 /// that had lost only the workers once returned every machine.)
--- a/src/engine/reports.rs
+++ b/src/engine/reports.rs
@@ -145,16 +145,10 @@
         self.on_absent(&id, tally, &named);
         let now = self.now;
         if let Some(machine) = self.leader_mut().and_then(|l| l.machines.get_mut(&id)) {
-            for (task, attempt) in &strays {
-                if machine
-                    .strays
-                    .insert((task.clone(), *attempt), ())
-                    .is_none()
-                {
-                    tracing::info!(machine = %id, %task, "stray task is stopped");
-                }
+            for (task, _) in strays.difference(&machine.strays) {
+                tracing::info!(machine = %id, %task, "stray task is stopped");
             }
-            machine.strays.retain(|stray, ()| strays.contains(stray));
+            machine.strays = strays;
             if !machine.tasks.is_empty() {
                 machine.idle_since = now;
             }
--- a/src/engine/rounds.rs
+++ b/src/engine/rounds.rs
@@ -144,7 +144,7 @@
             .leader()
             .into_iter()
             .flat_map(|l| l.machines.values())
-            .flat_map(|m| m.strays.keys().map(|(task, _)| &task.job))
+            .flat_map(|m| m.strays.iter().map(|(task, _)| &task.job))
             .collect();
         let mut candidates: Vec<Candidate<'_>> = self
             .jobs
--- a/src/model/machine.rs
+++ b/src/model/machine.rs
@@ -1,7 +1,7 @@
 //! A rented machine as this leader knows it.
 
 use super::{JobId, MachineId, Ms, TaskId};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 
 /// Orders a machine's messages: a larger one is newer.
@@ -39,15 +39,13 @@
     /// Tasks placed on it.
     pub tasks: BTreeSet<TaskId>,
     /// Tasks it reports that are not placed there, with their attempts: they are being stopped.
-    pub strays: BTreeMap<(TaskId, u64), ()>,
+    pub strays: BTreeSet<(TaskId, u64)>,
     /// Images it has, most recently used last.
     pub images: VecDeque<(Arc<str>, f64)>,
     /// Jobs whose tasks failed here since a task last completed.
     pub failed_jobs: BTreeSet<JobId>,
     /// Put aside for failing or for being slow.
     pub aside: bool,
-    /// A return call is in flight.
-    pub return_sent: bool,
     /// Since when it holds nothing.
     pub idle_since: Ms,
 }
@@ -66,11 +64,10 @@
             tally: Tally::default(),
             taken_at: None,
             tasks: BTreeSet::new(),
-            strays: BTreeMap::new(),
+            strays: BTreeSet::new(),
             images: VecDeque::new(),
             failed_jobs: BTreeSet::new(),
             aside: false,
-            return_sent: false,
             idle_since: now,
         }
     }
@@ -89,6 +86,11 @@
         }
     }
 
+    /// Whether nothing is on it, placed or stray.
+    pub fn is_empty(&self) -> bool {
+        self.tasks.is_empty() && self.strays.is_empty()
+    }
+
     /// Whether it takes new tasks, apart from room.
     pub fn takes_tasks(&self) -> bool {
         self.phase == MachinePhase::Up
