--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -291,6 +291,22 @@
     assert_eq!(blamed.count(), 0);
 }
 
+#[test]
+fn late_and_repeated_reports_change_nothing() {
+    let mut world = world_with(vec![
+        quick("run-1", Kind::Service, 2),
+        quick("run-2", Kind::Array, 2),
+    ]);
+    assert!(world.run_until(60_000, |w| w.running("run-1") == 2));
+    let machine = world.machine_of("run-1").unwrap();
+    for _ in 0..20 {
+        world.repeat_reports(&machine);
+        world.run(700);
+    }
+    assert_eq!((world.running("run-1"), world.starts), (2, 4));
+    ends_well(&mut world, "run-2", 30_000);
+}
+
 #[test]
 fn unknown_tasks_are_stopped_before_their_machine_is_used() {
     let mut world = world_with(vec![quick("run-1", Kind::Service, 1)]);
--- a/src/engine/tests/world.rs
+++ b/src/engine/tests/world.rs
@@ -84,6 +84,8 @@
     busy: bool,
     pub tasks: BTreeMap<String, OnMachine>,
     images: BTreeSet<String>,
+    /// Reports as sent, for late copies.
+    reports: Vec<Report>,
 }
 
 enum Ev {
@@ -272,6 +274,18 @@
             .map(|(name, _)| name.clone())
     }
 
+    /// Late copies of all reports of a machine, newest first, at the leader; their answers are
+    /// lost.
+    pub fn repeat_reports(&mut self, machine: &str) {
+        let leader = self.leader().unwrap();
+        let epoch = self.nodes[leader].epoch;
+        for report in self.workers[machine].reports.clone().into_iter().rev() {
+            self.order += 1;
+            let reply = self.order;
+            self.step(leader, epoch, Some(Command::Report { report, reply }));
+        }
+    }
+
     /// Puts a task on a machine that no leader ordered there.
     pub fn plant(&mut self, machine: &str, task: &str) {
         let planted = OnMachine {
@@ -752,6 +766,7 @@
                 })
                 .collect(),
         };
+        w.reports.push(report.clone());
         let (node, seq) = (w.node, w.seq);
         let epoch = self.nodes[node].epoch;
         self.at(WORKER_TIMEOUT, Ev::Receive(name.into(), seq, None));
@@ -951,6 +966,7 @@
             busy: false,
             tasks: BTreeMap::new(),
             images: BTreeSet::new(),
+            reports: Vec::new(),
         }
     }
 }
