--- a/src/constants.rs
+++ b/src/constants.rs
@@ -166,3 +166,6 @@
 /// How long the answer to a worker's report may wait for a round to be written, ms: a commit
 /// takes about 10 ms, at times a few hundred; a worker waits 4 s.
 pub const HOLD_REPORT_MS: u64 = 400;
+/// Where a job without a deadline stands among those with one, ms after its submission: behind
+/// all that are due within an hour.
+pub const NO_DEADLINE_MS: u64 = 3_600_000;
--- a/src/model/job.rs
+++ b/src/model/job.rs
@@ -1,5 +1,7 @@
 //! A job, its tasks, and where they are.
 
+use crate::constants::NO_DEADLINE_MS;
+
 use super::{MachineId, Ms, Resources, Tally, TaskSet};
 use crate::wire::user::{self, Kind, Priority};
 use crate::wire::worker::TaskState;
@@ -23,6 +25,7 @@
     pub spread: bool,
     pub spot: bool,
     pub estimate_ms: u64,
+    pub deadline_ms: Option<u64>,
     pub checkpoint_ms: u64,
     pub save_s: f64,
 }
@@ -47,6 +50,7 @@
             spread: job.spread,
             spot: job.spot,
             estimate_ms: (job.estimate_s * 1000.0) as u64,
+            deadline_ms: job.deadline_s.map(|s| (s * 1000.0) as u64),
             checkpoint_ms: (job.checkpoint_s * 1000.0) as u64,
             save_s: job.save_s,
         }
@@ -164,6 +168,12 @@
         }
     }
 
+    /// When it should be complete, time of day, ms: by its owner, or long after submission.
+    pub fn due(&self) -> u64 {
+        let within = self.spec.deadline_ms.unwrap_or(NO_DEADLINE_MS);
+        self.submitted.saturating_add(within)
+    }
+
     pub fn is_open(&self) -> bool {
         self.phase == Phase::Open
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -1,6 +1,6 @@
 //! From the model to a round: pure functions.
 //!
-//! Jobs are taken by priority, then those within their team's guarantee, then by submission.
+//! Jobs are taken by priority, then those within their team's guarantee, then by deadline.
 //! Each task goes to the fitting machine that is left fullest, within the rules on types,
 //! zones and kinds of machine and the team's limit.
 
@@ -114,7 +114,7 @@
         let key = |c: &Candidate<'_>| (c.job.spec.priority, c.guaranteed);
         key(b)
             .cmp(&key(a))
-            .then_with(|| (a.job.submitted, a.id).cmp(&(b.job.submitted, b.id)))
+            .then_with(|| (a.job.due(), a.id).cmp(&(b.job.due(), b.id)))
     });
 }
 
@@ -409,6 +409,28 @@
         assert_eq!(plan.starts.len(), 3);
     }
 
+    #[test]
+    fn earlier_deadlines_are_served_first_within_a_priority() {
+        let with = |due| job(Kind::Array, 1, move |j| j.deadline_s = due);
+        let mut urgent = with(None);
+        urgent.spec.priority = crate::wire::user::Priority::High;
+        let jobs = [with(None), with(Some(90.0)), with(Some(30.0)), urgent];
+        let ids = ["run-1", "run-2", "run-3", "run-4"].map(JobId::from);
+        let mut candidates: Vec<Candidate<'_>> = ids
+            .iter()
+            .zip(&jobs)
+            .map(|(id, job)| Candidate {
+                id,
+                job,
+                guaranteed: false,
+                zones: BTreeMap::new(),
+            })
+            .collect();
+        order(&mut candidates);
+        let order: Vec<&str> = candidates.iter().map(|c| &*c.id.0).collect();
+        assert_eq!(order, ["run-4", "run-3", "run-2", "run-1"]);
+    }
+
     #[test]
     fn zones_types_and_kinds_are_kept() {
         let mut slots = [slot("a", "east", 9.0), slot("b", "west", 9.0)];
