Deaf machines, late copies, refused peers, lone nodes; what waits long goes first

Cause, found by reading the code against the added rules: any report counted as a sign of life, so a machine that hears nothing was given work for ever, and a late copy kept a dead machine and its room in the books of a new leader; a follower that could not hear the leader kept whatever worker came to it; a leader alone with its workers held them for the whole grace; nothing kept room for a large gang; a job whose record can't be read was answered 503 for ever.

Ruled out: excusing machines while any peer is unheard (no test could tell it apart).

--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -46,6 +46,10 @@
         record: Box<JobRecord>,
         version: u64,
     },
+    /// Accepted and not over, but its record can't be read.
+    Unreadable {
+        version: u64,
+    },
     Final(JobState, u64),
 }
 
@@ -101,8 +105,11 @@
         }
         if let Some(item) = self.get(engine::job_key(id)).await? {
             let version = item.version;
-            let record = engine::read_job(item.value)
-                .ok_or_else(|| StoreError::Bad(format!("record of {id} can't be read")))?;
+            let Some(record) = engine::read_job(item.value) else {
+                // It was accepted, and is not over: all that its user can be told.
+                tracing::error!("record of {id} can't be read");
+                return Ok(Known::Unreadable { version });
+            };
             if record.cancelled {
                 self.finals()
                     .insert(id, JobState::Cancelled, record.job.tasks);
@@ -131,6 +138,7 @@
             Known::Never => return None,
             Known::Final(state @ JobState::Done, tasks) => (*state, *tasks, 0),
             Known::Final(state, _) => (*state, 0, 0),
+            Known::Unreadable { .. } => (JobState::Queued, 0, 0),
             Known::Open { .. } => {
                 let (done, running) = self.counts(id).await;
                 let state = if running > 0 {
@@ -286,7 +294,8 @@
         // Again if someone changed the record between read and write.
         for _ in 0..3 {
             let (record, version) = match self.look_up(id).await? {
-                Known::Open { record, version } => (record, version),
+                Known::Open { record, version } => (Some(record), version),
+                Known::Unreadable { version } => (None, version),
                 known => {
                     return Ok(match self.status(id, &known).await {
                         Some(status) => answer(StatusCode::OK, &status),
@@ -294,20 +303,25 @@
                     });
                 }
             };
-            let tasks = record.job.tasks;
-            let record = JobRecord {
-                cancelled: true,
-                ..*record
-            };
+            let tasks = record.as_ref().map_or(0, |r| r.job.tasks);
             let last = FinalRecord {
                 state: JobState::Cancelled,
                 tasks,
             };
             let live = engine::job_key(id);
-            let txn = Txn::default()
-                .when(&live, version)
-                .put(live, engine::job_value(&record))
-                .put(engine::final_key(id), engine::final_value(&last));
+            let txn = Txn::default().when(&live, version);
+            let txn = match record {
+                Some(record) => {
+                    let record = JobRecord {
+                        cancelled: true,
+                        ..*record
+                    };
+                    txn.put(live, engine::job_value(&record))
+                }
+                // Nothing of a job whose record can't be read is ever started.
+                None => txn.delete(live),
+            };
+            let txn = txn.put(engine::final_key(id), engine::final_value(&last));
             match self.call(StoreCall::Commit(txn)).await {
                 Ok(_) => {
                     self.finals().insert(id, JobState::Cancelled, tasks);
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -88,6 +88,14 @@
 /// Share kept back for lease renewals and leader's work when users flood a node.
 pub const RATE_RESERVE: f64 = 0.25;
 
+/// How long a worker waits for the answer to its report, ms, by the protocol.
+pub const WORKER_WAIT_MS: u64 = 4_000;
+/// Workers remembered that were sent on to a leader that can't be heard: several times the
+/// largest fleet; any more are treated as if they came for the first time.
+pub const SENT_ON_MOST: usize = 4096;
+/// A node that has not learnt the machine types for this long after its start, ms, serves users'
+/// questions without them: usually the first call tells, and until then others serve better.
+pub const TYPES_PATIENCE_MS: u64 = 10_000;
 /// Between reading the machine types again (spot prices move), ms.
 pub const TYPES_EVERY_MS: u64 = 60_000;
 /// Between machine lists, ms: the list lags by seconds anyway.
@@ -166,6 +174,14 @@
 /// How long the answer to a worker's report may wait for a round to be written, ms: a commit
 /// takes about 10 ms, at times a few hundred; a worker waits 4 s.
 pub const HOLD_REPORT_MS: u64 = 400;
+/// A job of which nothing has begun for this long, ms, goes before all others, and room is held
+/// back for a gang: with the time that running work takes to end it begins within four minutes,
+/// which the users ask for. Much shorter, and every burst would be served in order of arrival
+/// instead of by priority.
+pub const AGED_MS: u64 = 90_000;
+/// From this many failures in a row on, a job's age counts for nothing: it would go first, and
+/// hold room back, only to fail again.
+pub const FAILURES_AGED: u32 = 3;
 /// Where a job without a deadline stands among those with one, ms after its submission: behind
 /// all that are due within an hour.
 pub const NO_DEADLINE_MS: u64 = 3_600_000;
--- a/src/engine/hiring.rs
+++ b/src/engine/hiring.rs
@@ -252,7 +252,7 @@
             .machine_type(&machine.machine_type)
             .map_or(0, |t| t.boot_ms);
         let overdue = self.now.saturating_sub(machine.rented) > 2 * boot;
-        machine.phase == MachinePhase::Booting && !overdue
+        machine.phase == MachinePhase::Booting && machine.vouched && !overdue
     }
 
     fn is_expected(&self, machine: &Machine) -> bool {
@@ -270,7 +270,7 @@
                 leader.hiring.refused.remove(&offer);
                 for name in names {
                     let id = MachineId::from(&*name);
-                    leader.machines.entry(id.clone()).or_insert_with(|| {
+                    let machine = leader.machines.entry(id.clone()).or_insert_with(|| {
                         Machine::new(
                             id,
                             offer.machine_type.clone(),
@@ -279,6 +279,7 @@
                             now,
                         )
                     });
+                    machine.vouched = true;
                 }
             }
             Ok(_) => {}
@@ -328,6 +329,7 @@
                 tracing::info!(machine = %id, "machine found in the list");
                 Machine::new(id, "".into(), "".into(), listed.spot, now)
             });
+            machine.vouched = true;
             if machine.machine_type.is_empty() {
                 machine.machine_type = listed.machine_type.as_str().into();
                 machine.zone = listed.zone.as_str().into();
@@ -380,6 +382,12 @@
             // the whole zone was returned the moment the cut ended.)
             let cut = hiring.cut.get(&machine.zone).copied().unwrap_or(0);
             let excused = cut.min(machine.seen + self.timing.grace);
+            let unheard = now.saturating_sub(machine.seen.max(excused));
+            // One that reports although nothing proves that it hears us is given its next report.
+            let patience = match now.saturating_sub(machine.received) > self.timing.on_time {
+                true => silent_ms,
+                false => silent_ms + self.timing.on_time,
+            };
             let boot_ms = types
                 .as_ref()
                 .and_then(|t| t.get(&machine.machine_type))
@@ -389,7 +397,7 @@
                 report_ms,
                 boot_ms: boot_ms.max(k::BOOT_PATIENCE_MIN_MS),
                 idle_ms,
-                silent: now.saturating_sub(machine.seen.max(excused)) > silent_ms,
+                silent: unheard > patience,
                 kept: hiring.keep.contains(&machine.id),
             };
             if let Some(why) = look.return_why(machine) {
@@ -506,6 +514,8 @@
         let idle = machine.is_empty() && !self.kept && since(machine.idle_since) > self.idle_ms;
         match machine.phase {
             MachinePhase::Booting if self.silent && !machine.tasks.is_empty() => Some("silent"),
+            // Known by a report alone, perhaps a late copy from a machine that is long gone.
+            MachinePhase::Booting if self.silent && !machine.vouched => Some("never answered"),
             // After a take-over every machine is new to this leader, however long it has been
             // rented: it must have had time to report.
             MachinePhase::Booting if held > self.boot_ms && self.silent => Some("never came up"),
--- a/src/engine/leadership.rs
+++ b/src/engine/leadership.rs
@@ -69,11 +69,21 @@
     /// Whether this node may still answer reports, which renews workers' leases. Bounded, so
     /// that a cancellation it has not heard of still ends in time: see the timing's grace.
     pub(super) fn may_answer(&self) -> bool {
-        let grace = self.timing.grace;
+        let grace = self.grace();
         self.leader().is_some_and(|l| self.now < l.renewed + grace)
             && self.fresh_at.is_some_and(|at| self.now < at + grace)
     }
 
+    /// For how long after its last news this node still answers reports. A node that hears no
+    /// peer either has more likely lost its own connections than lived through an outage: its
+    /// successor is at work by then and waits for the workers, so it lets them go sooner.
+    fn grace(&self) -> Ms {
+        match self.is_alone() {
+            true => self.timing.grace / 2,
+            false => self.timing.grace,
+        }
+    }
+
     /// The leader for which this node may answer reports in its absence: the state service says
     /// that it leads, and it can't be heard. Whoever can't reach it from here is answered only
     /// to keep its lease and to be told of cancellations; the right ends, as the leader's own
@@ -83,9 +93,7 @@
             .holder
             .as_ref()
             .filter(|h| h.node != self.settings.node)?;
-        let knows = self
-            .fresh_at
-            .is_some_and(|at| self.now < at + self.timing.grace);
+        let knows = self.fresh_at.is_some_and(|at| self.now < at + self.grace());
         (knows && !self.hears(&holder.node)).then_some(holder)
     }
 
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -233,6 +233,8 @@
     campaign: Retry,
     /// Highest term heard of, from any source.
     term_heard: u64,
+    /// Workers of a leader that can't be heard from here.
+    sent_on: BTreeMap<MachineId, reports::SentOn>,
     /// When each peer was last heard of, and whether the state service answers it.
     peers: BTreeMap<String, (Ms, bool)>,
 }
@@ -262,6 +264,7 @@
             role: Role::Follower,
             campaign: Retry::default(),
             term_heard: 0,
+            sent_on: BTreeMap::new(),
             peers: BTreeMap::new(),
         }
     }
@@ -291,14 +294,19 @@
 
     pub fn view(&self) -> View {
         let store_ok = self.store_ok();
-        // A node that alone has lost the state service cannot serve users; in an outage that
-        // all nodes see, staying in the balancer's rotation gives users a prompt 503.
+        // A node that alone has lost the state service cannot serve users, nor can one that has
+        // lost its peers with it: they may well be served elsewhere. In an outage that all nodes
+        // see, staying in the balancer's rotation gives users a prompt 503.
         let others_ok = self
             .peers
             .iter()
             .any(|(node, (_, store_ok))| *store_ok && self.hears(node));
+        // Questions are answered without the machine types; only new jobs need them.
+        let types = self.types.is_some() || self.now > k::TYPES_PATIENCE_MS;
         View {
-            ready: self.types.is_some() && self.revision.is_some() && (store_ok || !others_ok),
+            ready: types
+                && self.revision.is_some()
+                && (store_ok || !(others_ok || self.is_alone())),
             leading: self.leader().is_some(),
             term: self.leader().map_or(0, |l| l.term),
             leader: self.holder.as_ref().map(|h| h.node.clone()),
@@ -315,6 +323,12 @@
             .is_some_and(|(at, _)| self.now.saturating_sub(*at) < lately)
     }
 
+    /// Whether there are peers and none of them can be heard.
+    fn is_alone(&self) -> bool {
+        let peers = &self.settings.peers;
+        !peers.is_empty() && !peers.iter().any(|p| self.hears(&p.node))
+    }
+
     /// Whether no peer of that zone can be heard, though there is one.
     fn cut_off_from(&self, zone: &str) -> bool {
         let mut there = self
--- a/src/engine/reports.rs
+++ b/src/engine/reports.rs
@@ -22,6 +22,15 @@
     since: crate::model::Ms,
 }
 
+/// What a node has done with a worker of a leader that it can't hear.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct SentOn {
+    /// When it was last sent to the leader.
+    sent: crate::model::Ms,
+    /// Until when it is answered in the leader's place.
+    until: crate::model::Ms,
+}
+
 impl Engine {
     pub(super) fn on_report(&mut self, report: Report, to: ReplyId) {
         let Some(leader) = self.leader() else {
@@ -101,8 +110,14 @@
         })
     }
 
-    fn answer_as_follower(&self, report: &Report) -> Reply {
-        if let Some(leader) = self.deputy_for().filter(|h| report.token <= h.term) {
+    fn answer_as_follower(&mut self, report: &Report) -> Reply {
+        let deputy = self.deputy_for().filter(|h| report.token <= h.term);
+        let (knows_term, leads) = (
+            deputy.is_some_and(|h| report.token == h.term),
+            deputy.cloned(),
+        );
+        let stands_in = leads.is_some() && self.stands_in(&report.machine, knows_term);
+        if let Some(leader) = leads.filter(|_| stands_in) {
             let cancelled = |task: &&Task| {
                 let id = TaskId::parse(&task.task);
                 let job = id.and_then(|id| self.jobs.get(&id.job));
@@ -125,10 +140,40 @@
         }
     }
 
+    /// Whether to answer this worker in the place of a leader that can't be heard here, or to
+    /// send it to that leader once more. That we don't hear the leader does not mean that the
+    /// worker can't: connections between nodes may be refused while all else works. (A node that
+    /// answered whoever came kept new machines from their leader, which took them for dead.) A
+    /// worker that knows the term has lost its leader; any other is sent there first, and
+    /// answered when it comes back; and all are sent there again after half a lease.
+    fn stands_in(&mut self, machine: &str, knows_term: bool) -> bool {
+        let (now, lease) = (self.now, self.timing.worker_lease);
+        self.sent_on
+            .retain(|_, s| now < s.sent.max(s.until) + lease);
+        let id = MachineId::from(machine);
+        let known = self.sent_on.get(&id).copied();
+        if known.is_some_and(|s| now < s.until) {
+            return true;
+        }
+        // Sent on, and back before its lease could have ended; or never sent on by this node.
+        let back = known.map_or(knows_term, |s| s.sent > s.until);
+        if self.sent_on.len() >= k::SENT_ON_MOST && known.is_none() {
+            return back;
+        }
+        let mut sent_on = known.unwrap_or_default();
+        if back {
+            sent_on.until = now + lease / 2;
+        } else {
+            sent_on.sent = now;
+        }
+        self.sent_on.insert(id, sent_on);
+        back
+    }
+
     /// Takes note of the machine itself; false if the report is out of date or of a machine
     /// that is gone.
     fn note_machine(&mut self, report: &Report, confirmed: bool) -> bool {
-        let now = self.now;
+        let (now, on_time) = (self.now, self.timing.on_time);
         let tally = Tally {
             session: report.session,
             seq: report.seq,
@@ -147,8 +192,7 @@
         if tally <= machine.tally {
             return false;
         }
-        machine.tally = tally;
-        machine.seen = now;
+        machine.note_report(tally, confirmed, now, on_time);
         if &*machine.machine_type != report.machine_type.as_str() {
             machine.machine_type = report.machine_type.as_str().into();
         }
@@ -464,7 +508,7 @@
         let Some(machine) = self.leader().and_then(|l| l.machines.get(id)) else {
             return;
         };
-        let starts = confident && machine.phase == MachinePhase::Up;
+        let starts = confident && machine.phase == MachinePhase::Up && machine.heard;
         let tasks: Vec<TaskId> = machine.tasks.iter().cloned().collect();
         for task in tasks {
             let Some(job) = self.jobs.get_mut(&task.job) else {
@@ -501,16 +545,17 @@
 
     /// Sends a job's stops directly, without waiting for the machines' reports.
     pub(super) fn send_stops(&mut self, id: &JobId) {
-        let Role::Leader(leader) = &self.role else {
+        let Role::Leader(leader) = &mut self.role else {
             return;
         };
         let Some(job) = self.jobs.get(id) else { return };
         for (index, placement) in &job.live {
             let Some(stop) = placement.stop else { continue };
-            let Some(machine) = leader.machines.get(&placement.machine) else {
+            let Some(machine) = leader.machines.get_mut(&placement.machine) else {
                 continue;
             };
             let Some(addr) = machine.addr else { continue };
+            machine.direct += 1;
             let order = Order::Stop {
                 task: TaskId {
                     job: id.clone(),
--- a/src/engine/rounds.rs
+++ b/src/engine/rounds.rs
@@ -7,6 +7,7 @@
 use crate::placement::{self, Candidate, Plan, Slot, Start, Teams};
 use crate::store::{StoreCall, StoreError, StoreReply};
 use crate::wire::store::Txn;
+use crate::wire::user::Kind;
 use crate::wire::worker::TaskState;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -104,13 +105,16 @@
             .filter(|machine| which(machine))
             .filter_map(|machine| {
                 let size = self.machine_type(&machine.machine_type)?.size;
-                let mut used = Resources::default();
+                let (mut used, mut settled) = (Resources::default(), Resources::default());
                 let mut fetching = Vec::new();
                 for task in &machine.tasks {
                     let Some(job) = self.jobs.get(&task.job) else {
                         continue;
                     };
                     used += job.spec.need;
+                    if job.spec.kind == Kind::Service {
+                        settled += job.spec.need;
+                    }
                     let stage = job.live.get(&task.index).map(|p| p.stage);
                     let image = &job.spec.image;
                     let ready = machine.has_image(image)
@@ -126,6 +130,7 @@
                     spot: machine.spot,
                     size,
                     room: size - used,
+                    settled,
                     images: machine
                         .images
                         .iter()
@@ -164,6 +169,7 @@
                     id,
                     job,
                     guaranteed: guaranteed.contains(id),
+                    aged: job.is_aged(self.wall),
                     zones,
                 })
             })
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -241,6 +241,7 @@
             spot: o.spot,
             size,
             room: size,
+            settled: Resources::default(),
             images: Vec::new(),
             fetching: Vec::new(),
         })
--- a/src/model/job.rs
+++ b/src/model/job.rs
@@ -1,6 +1,6 @@
 //! A job, its tasks, and where they are.
 
-use crate::constants::NO_DEADLINE_MS;
+use crate::constants::{AGED_MS, FAILURES_AGED, NO_DEADLINE_MS};
 
 use super::{MachineId, Ms, Resources, Tally, TaskSet};
 use crate::wire::user::{self, Kind, Priority};
@@ -174,6 +174,15 @@
         self.submitted.saturating_add(within)
     }
 
+    /// Whether nothing of it has run or runs although it was submitted long before `wall` (time
+    /// of day, ms). One that keeps failing waits for a reason of its own.
+    pub fn is_aged(&self, wall: u64) -> bool {
+        self.live.is_empty()
+            && self.done.is_empty()
+            && self.failures < FAILURES_AGED
+            && wall.saturating_sub(self.submitted) > AGED_MS
+    }
+
     pub fn is_open(&self) -> bool {
         self.phase == Phase::Open
     }
--- a/src/model/machine.rs
+++ b/src/model/machine.rs
@@ -31,9 +31,18 @@
     pub phase: MachinePhase,
     /// When it was rented, as far as known.
     pub rented: Ms,
-    /// When we last heard of it (or learnt of it).
+    /// When it last proved that it is alive and that our answers reach it (or we learnt of it).
     pub seen: Ms,
     pub tally: Tally,
+    /// When its newest report came in: by itself no sign of life, since reports come late, and
+    /// come from machines that our answers don't reach.
+    pub received: Ms,
+    /// Whether its newest report is such a proof. Without one it is given nothing to do.
+    pub heard: bool,
+    /// Orders sent directly since its newest report; each that was executed raises its tally.
+    pub direct: u64,
+    /// The cloud has named it: it is more than a report of a machine that may be long gone.
+    pub vouched: bool,
     /// When the cloud takes it away.
     pub taken_at: Option<Ms>,
     /// Tasks placed on it.
@@ -62,6 +71,10 @@
             rented: now,
             seen: now,
             tally: Tally::default(),
+            received: now,
+            heard: false,
+            direct: 0,
+            vouched: false,
             taken_at: None,
             tasks: BTreeSet::new(),
             strays: BTreeSet::new(),
@@ -72,6 +85,25 @@
         }
     }
 
+    /// Takes note of a report newer than all before. One that follows the last within the time
+    /// that a worker takes, with no report to anyone else between, shows that the worker took the
+    /// last answer. Any other may be from a machine that our answers don't reach (it asks other
+    /// nodes in turn), or a late copy from one that is gone: it proves nothing, and the next one
+    /// is waited for.
+    pub fn note_report(&mut self, tally: Tally, confirmed: bool, now: Ms, on_time: Ms) {
+        let first = confirmed && self.phase == MachinePhase::Booting;
+        let next = tally.session == self.tally.session
+            && tally.seq <= self.tally.seq + 1 + self.direct
+            && now <= self.received + on_time;
+        self.heard = confirmed && (first || next);
+        if self.heard {
+            self.seen = now;
+        }
+        self.tally = tally;
+        self.received = now;
+        self.direct = 0;
+    }
+
     pub fn has_image(&self, image: &str) -> bool {
         self.images.iter().any(|(name, _)| &**name == image)
     }
@@ -94,6 +126,7 @@
     /// Whether it takes new tasks, apart from room.
     pub fn takes_tasks(&self) -> bool {
         self.phase == MachinePhase::Up
+            && self.heard
             && !self.aside
             && self.taken_at.is_none()
             && self.strays.is_empty()
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -112,6 +112,15 @@
         }
     }
 
+    /// How many times `need` fits in; of nothing, as often as anyone asks.
+    pub fn count_of(self, need: Resources) -> u32 {
+        let times = |whole: u64, part: u64| whole.checked_div(part).unwrap_or(u64::MAX);
+        let least = times(self.cpus, need.cpus)
+            .min(times(self.gpus, need.gpus))
+            .min(times(self.memory, need.memory));
+        least.min(u64::from(u32::MAX)) as u32
+    }
+
     /// How full `self` makes something of size `whole`, in thousandths of its scarcest amount.
     pub fn share_of(self, whole: Resources) -> u64 {
         let part = |a: u64, b: u64| a.saturating_mul(1000).checked_div(b).unwrap_or(0);
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -21,6 +21,8 @@
     pub spot: bool,
     pub size: Resources,
     pub room: Resources,
+    /// What tasks hold that don't end by themselves (services).
+    pub settled: Resources,
     /// Images that it has.
     pub images: Vec<Arc<str>>,
     /// Images that it is fetching, or will with the starts it was given.
@@ -31,6 +33,9 @@
     /// Takes the room of one task.
     pub fn take(&mut self, spec: &Spec) {
         self.room = self.room - spec.need;
+        if spec.kind == Kind::Service {
+            self.settled += spec.need;
+        }
         if !self.images.contains(&spec.image) && !self.fetching.contains(&spec.image) {
             self.fetching.push(spec.image.clone());
         }
@@ -56,6 +61,8 @@
     pub job: &'a Job,
     /// Fits into its team's guarantee together with the team's earlier unfinished jobs.
     pub guaranteed: bool,
+    /// Has waited so long that it goes first, and that room is held back for it.
+    pub aged: bool,
     /// Its placed tasks by zone.
     pub zones: BTreeMap<Arc<str>, u32>,
 }
@@ -108,10 +115,11 @@
     pub unplaced: Vec<Unplaced>,
 }
 
-/// Orders jobs: who is served first.
+/// Orders jobs: who is served first. Among those that have waited too long, the rest of the order
+/// holds as well, so that a backlog as a whole is still served by priority.
 pub fn order(candidates: &mut [Candidate<'_>]) {
     candidates.sort_by(|a, b| {
-        let key = |c: &Candidate<'_>| (c.job.spec.priority, c.guaranteed);
+        let key = |c: &Candidate<'_>| (c.aged, c.job.spec.priority, c.guaranteed);
         key(b)
             .cmp(&key(a))
             .then_with(|| (a.job.due(), a.id).cmp(&(b.job.due(), b.id)))
@@ -147,7 +155,10 @@
         let Candidate { id, job, zones, .. } = candidate;
         let left = most.saturating_sub(plan.starts.len());
         if job.spec.kind == Kind::Gang {
-            plan_gang(id, job, slots, teams, left, &mut plan);
+            let placed = plan_gang(id, job, slots, teams, left, &mut plan);
+            if !placed && candidate.aged {
+                hold_back(&job.spec, slots);
+            }
         } else {
             plan_tasks(id, job, zones.clone(), slots, teams, left, &mut plan);
         }
@@ -204,7 +215,51 @@
     }
 }
 
-/// All tasks of a gang or none.
+/// Sets room aside for a gang that has waited too long: nothing that comes after it in the order
+/// starts on the machines of the zone that are nearest to having room for all of it. (Smaller
+/// work took each machine as it came free, and a gang of many whole machines never began.)
+fn hold_back(spec: &Spec, slots: &mut [Slot]) {
+    let zones: std::collections::BTreeSet<Arc<str>> =
+        slots.iter().map(|s| s.zone.clone()).collect();
+    let choice = |only: Option<&Arc<str>>| {
+        let mut fitting: Vec<(Resources, usize)> = slots
+            .iter()
+            .enumerate()
+            .filter(|(_, slot)| {
+                only.is_none_or(|zone| slot.zone == *zone)
+                    && allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
+                    && spec.need.fits_in(slot.size - slot.settled)
+            })
+            .map(|(at, slot)| (slot.size - slot.settled - slot.room, at))
+            .collect();
+        // Those with the least to end first.
+        fitting.sort_by_key(|(ending, at)| (ending.share_of(slots[*at].size), *at));
+        let mut left = spec.tasks;
+        let (mut held, mut ending) = (Vec::new(), 0);
+        for (still, at) in fitting {
+            if left == 0 {
+                break;
+            }
+            let fits = (slots[at].size - slots[at].settled).count_of(spec.need);
+            left = left.saturating_sub(fits);
+            ending += still.share_of(slots[at].size);
+            held.push(at);
+        }
+        (left == 0).then_some((ending, held))
+    };
+    let best = match spec.one_zone {
+        true => zones
+            .iter()
+            .filter_map(|zone| choice(Some(zone)))
+            .min_by_key(|(ending, _)| *ending),
+        false => choice(None),
+    };
+    for at in best.into_iter().flat_map(|(_, held)| held) {
+        slots[at].room = Resources::default();
+    }
+}
+
+/// All tasks of a gang or none; whether they were placed.
 fn plan_gang(
     id: &JobId,
     job: &Job,
@@ -212,10 +267,11 @@
     teams: &mut Teams,
     left: usize,
     plan: &mut Plan,
-) {
+) -> bool {
     let spec = &job.spec;
     if !teams.take(&spec.team, spec.whole()) {
-        return;
+        // Its team's own work is in the way, not a lack of room.
+        return true;
     }
     let tasks = spec.tasks as usize;
     let places = if tasks > left {
@@ -233,6 +289,7 @@
                     machine: slots[at].id.clone(),
                 });
             }
+            true
         }
         None => {
             teams.give_back(&spec.team, spec.whole());
@@ -240,6 +297,7 @@
                 job: id.clone(),
                 tasks: spec.tasks,
             });
+            false
         }
     }
 }
@@ -326,6 +384,7 @@
             spot: false,
             size,
             room: size,
+            settled: Resources::default(),
             images: Vec::new(),
             fetching: Vec::new(),
         }
@@ -351,6 +410,7 @@
             id: &id,
             job,
             guaranteed: true,
+            aged: false,
             zones: BTreeMap::new(),
         };
         plan(&[candidate], slots, &mut teams, 100)
@@ -423,6 +483,7 @@
                 id,
                 job,
                 guaranteed: false,
+                aged: false,
                 zones: BTreeMap::new(),
             })
             .collect();
--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -171,6 +171,7 @@
             id: &id,
             job: ours,
             guaranteed,
+            aged: false,
             zones: BTreeMap::new(),
         };
         victims(&candidate, 1, &slots, &running)
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -301,6 +301,9 @@
     /// and the cloud's answer is the proof.
     pub silent: u64,
     pub report: u64,
+    /// Within this time of its last report comes the next one of a worker that took the answer:
+    /// reports come up to a quarter late, and an answer may take all the time a worker waits.
+    pub on_time: u64,
 }
 
 impl Timing {
@@ -315,6 +318,7 @@
             grace: grace - grace * k::DRIFT_PPM / 1_000_000,
             silent: lease,
             report: ms(w.report_s),
+            on_time: ms(w.report_s) * 5 / 4 + k::WORKER_WAIT_MS,
         }
     }
 }
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -447,3 +447,35 @@
     assert_eq!(answer.status, 421);
     assert_eq!(decode::<Elsewhere>(&answer.body).unwrap().report_to, None);
 }
+
+/// An accepted job stays known whatever has become of its record: "no answer" for 75 s would be a
+/// job forgotten.
+#[tokio::test]
+async fn a_job_whose_record_cannot_be_read_stays_known() {
+    let (client, standin) = node().await;
+    let put = |key: &str| {
+        let mut kv = standin.kv.lock().unwrap();
+        kv.revision += 1;
+        let version = kv.revision;
+        kv.keys
+            .insert(key.into(), (Value::from("not a record"), version));
+    };
+    put("live/job/run-000412");
+    let path = "/submissions/run-000412";
+    assert_eq!(client.job_state(path).await, "queued");
+    let again = client
+        .status(Method::POST, "/submissions", Some(submission(|_| {})))
+        .await;
+    assert_eq!(again, 200);
+    let cancel = format!("{path}/cancel");
+    assert_eq!(client.status(Method::POST, &cancel, None).await, 200);
+    assert_eq!(client.job_state(path).await, "aborted");
+    assert!(
+        !standin
+            .kv
+            .lock()
+            .unwrap()
+            .keys
+            .contains_key("live/job/run-000412")
+    );
+}
