A raised token makes a worker report at once and fetch what was written for it

Hypothesis: a worker reports when its highest token rises, so a raised one brings the answer with the start within milliseconds. The token is the leader's term with a count below it; nothing else of the argument changes.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -141,6 +141,9 @@
 pub const ENDS_EVERY_MS: u64 = 500;
 /// Between two passes over open rounds and over the fleet, ms.
 pub const UPKEEP_EVERY_MS: u64 = 1000;
+/// Bits of a worker's token below the leader's term: raised at most twice a worker's lease, they
+/// last a leader for longer than any process runs.
+pub const TOKEN_BITS: u32 = 20;
 /// Bits of an attempt number that count rounds within a term: a million rounds a term, and
 /// terms up to 2^44.
 pub const ROUND_BITS: u32 = 20;
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -22,7 +22,7 @@
 
 use crate::cloud::{CloudCall, CloudError, CloudReply};
 use crate::constants as k;
-use crate::model::{Job, JobId, Machine, MachineId, MachineType, Ms, Types};
+use crate::model::{Job, JobId, Machine, MachineId, MachineType, Ms, Token, Types};
 use crate::peer::Announcement;
 use crate::settings::{Settings, Timing};
 use crate::store::{StoreCall, StoreError, StoreReply};
@@ -155,7 +155,7 @@
 /// What only a leader has. Dropped as a whole when office is lost.
 #[derive(Debug)]
 struct Leader {
-    /// The durable term: the token on all orders, and the upper part of attempt numbers.
+    /// The durable term: the upper part of the token on all orders, and of attempt numbers.
     term: u64,
     /// Version of the leader's key: the condition on every commit.
     version: u64,
@@ -176,6 +176,15 @@
     place_at: Ms,
 }
 
+impl Leader {
+    /// The token to answer a machine with: of this term, and not below any that it has.
+    fn token_for(&self, machine: &str, seen: Token) -> Token {
+        let known = self.machines.get(&MachineId::from(machine));
+        let known = known.map_or(Token::default(), |m| m.token);
+        Token::first(self.term).max(known).max(seen)
+    }
+}
+
 /// A call that is repeated with growing pauses while it fails.
 #[derive(Debug, Default)]
 struct Retry {
--- a/src/engine/reports.rs
+++ b/src/engine/reports.rs
@@ -5,9 +5,9 @@
 //! name it proves that the task is not there. Stops are sent directly as well; a late one
 //! cannot harm, since it names the attempt.
 
-use super::{Engine, Reply, ReplyId, Role};
+use super::{Effect, Engine, Reply, ReplyId, Role};
 use crate::constants as k;
-use crate::model::{JobId, Machine, MachineId, MachinePhase, Phase, Stage, Tally, TaskId};
+use crate::model::{JobId, Machine, MachineId, MachinePhase, Phase, Stage, Tally, TaskId, Token};
 use crate::wire::user::Kind;
 use crate::wire::worker::{DirectOrders, Order, Orders, Report, Task, TaskState, Why};
 use std::collections::BTreeSet;
@@ -37,17 +37,18 @@
             let answer = self.answer_as_follower(&report);
             return self.reply(to, answer);
         };
-        if report.token > leader.term {
+        let seen = Token(report.token);
+        if seen.term() > leader.term {
             // The worker has seen a later leader.
-            self.term_heard = self.term_heard.max(report.token);
+            self.term_heard = self.term_heard.max(seen.term());
             self.step_down("a worker has seen a higher term");
             return self.reply(to, Reply::Elsewhere(None));
         }
         if !self.may_answer() {
             return self.reply(to, Reply::Unavailable);
         }
-        let token = leader.term;
-        let confirmed = report.token == token;
+        let confirmed = seen.term() == leader.term;
+        let token = leader.token_for(&report.machine, seen);
         let loaded = leader.loading.is_none();
         let mut orders = Vec::new();
         // Before the records are read, or until the worker confirms the token, its lease is
@@ -66,6 +67,7 @@
             };
             self.held.push(held);
         } else {
+            let token = token.0;
             self.reply(to, Reply::Orders(Orders { token, orders }));
         }
     }
@@ -76,10 +78,11 @@
     /// next report, seconds later.
     pub(super) fn answer_held(&mut self) {
         for mut held in std::mem::take(&mut self.held) {
-            let Some(token) = self.leader().map(|l| l.term) else {
+            let Some(leader) = self.leader() else {
                 self.reply(held.to, Reply::Unavailable);
                 continue;
             };
+            let token = leader.token_for(&held.machine.0, Token::default()).0;
             let young = self.now < held.since + k::HOLD_REPORT_MS;
             if young && self.is_planned_on(&held.machine) {
                 self.held.push(held);
@@ -111,13 +114,14 @@
     }
 
     fn answer_as_follower(&mut self, report: &Report) -> Reply {
-        let deputy = self.deputy_for().filter(|h| report.token <= h.term);
-        let (knows_term, leads) = (
-            deputy.is_some_and(|h| report.token == h.term),
-            deputy.cloned(),
-        );
-        let stands_in = leads.is_some() && self.stands_in(&report.machine, knows_term);
-        if let Some(leader) = leads.filter(|_| stands_in) {
+        let seen = Token(report.token);
+        let term = self
+            .deputy_for()
+            .map(|h| h.term)
+            .filter(|term| seen.term() <= *term);
+        if let Some(term) = term
+            && self.stands_in(&report.machine, seen.term() == term)
+        {
             let cancelled = |task: &&Task| {
                 let id = TaskId::parse(&task.task);
                 let job = id.and_then(|id| self.jobs.get(&id.job));
@@ -130,7 +134,7 @@
             };
             let orders = report.tasks.iter().filter(cancelled).map(stop).collect();
             return Reply::Orders(Orders {
-                token: leader.term,
+                token: seen.max(Token::first(term)).0,
                 orders,
             });
         }
@@ -185,6 +189,7 @@
         if leader.gone.contains(&id) {
             return false;
         }
+        let seen = leader.token_for(&report.machine, Token(report.token));
         let machine = leader.machines.entry(id.clone()).or_insert_with(|| {
             tracing::info!(machine = %id, "unexpected machine reports");
             Machine::new(id, "".into(), "".into(), report.spot, now)
@@ -192,6 +197,7 @@
         if tally <= machine.tally {
             return false;
         }
+        machine.token = seen;
         machine.note_report(tally, confirmed, now, on_time);
         if &*machine.machine_type != report.machine_type.as_str() {
             machine.machine_type = report.machine_type.as_str().into();
@@ -535,6 +541,7 @@
                     sent: Some(tally),
                     resends,
                 };
+                tracing::debug!(%task, machine = %id, resends, "start sent");
                 orders.push(Order::Start {
                     task: text,
                     attempt,
@@ -554,8 +561,6 @@
             let Some(machine) = leader.machines.get_mut(&placement.machine) else {
                 continue;
             };
-            let Some(addr) = machine.addr else { continue };
-            machine.direct += 1;
             let order = Order::Stop {
                 task: TaskId {
                     job: id.clone(),
@@ -565,15 +570,29 @@
                 attempt: placement.attempt,
                 grace_s: stop.grace_s,
             };
-            self.out.push(super::Effect::Orders {
-                addr,
-                orders: DirectOrders {
-                    token: leader.term,
-                    session: machine.tally.session,
-                    orders: vec![order],
-                },
-            });
+            self.out.extend(order_directly(machine, vec![order]));
+        }
+    }
+
+    /// Has a machine report at once, so that what was written for it does not wait for its next
+    /// report: a worker that sees a higher token reports, though not more often than twice a lease.
+    /// The order carries nothing else, so it is safe however late or often it arrives, which a
+    /// start sent directly would not be.
+    pub(super) fn ring(&mut self, id: &MachineId) {
+        let (now, every) = (self.now, self.timing.worker_lease / 2);
+        if self.held.iter().any(|held| held.machine == *id) {
+            return;
         }
+        let Some(machine) = self.leader_mut().and_then(|l| l.machines.get_mut(id)) else {
+            return;
+        };
+        if machine.rung.is_some_and(|at| now < at + every) {
+            return;
+        }
+        machine.rung = Some(now);
+        machine.token = machine.token.next();
+        let effect = order_directly(machine, Vec::new());
+        self.out.extend(effect);
     }
 
     /// Removes a finished job from memory once nothing of it is left, and has its end written.
@@ -599,6 +618,18 @@
     }
 }
 
+/// Orders for a machine to be sent to it directly, if its address is known.
+fn order_directly(machine: &mut Machine, orders: Vec<Order>) -> Option<Effect> {
+    let addr = machine.addr?;
+    machine.direct += 1;
+    let orders = DirectOrders {
+        token: machine.token.0,
+        session: machine.tally.session,
+        orders,
+    };
+    Some(Effect::Orders { addr, orders })
+}
+
 fn put_aside(machine: &mut Machine) {
     if !machine.aside {
         tracing::info!(machine = %machine.id, "machine put aside: tasks fail on it");
--- a/src/engine/rounds.rs
+++ b/src/engine/rounds.rs
@@ -340,7 +340,12 @@
             starts = writing.starts.len(),
             "round written"
         );
+        let machines: BTreeSet<MachineId> =
+            writing.starts.iter().map(|(_, m, _)| m.clone()).collect();
         leader.rounds.open.insert(writing.number, writing.starts);
+        for machine in machines {
+            self.ring(&machine);
+        }
     }
 
     /// The round surely is not and will not be written: nothing of it was sent.
--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -571,3 +571,23 @@
     );
     assert_eq!(world.broken, Vec::<String>::new());
 }
+
+/// Starts once waited for the machine's next report, on average half an interval.
+#[test]
+fn a_written_start_is_fetched_at_once() {
+    let mut world = world_with(vec![quick("run-1", Kind::Service, 1)]);
+    assert!(world.run_until(60_000, |w| w.running("run-1") == 1));
+    for n in 2..7 {
+        // At various times within a report's interval; not more often than a worker reports so.
+        world.run(9_000 + 500 * n);
+        let id = format!("run-{n}");
+        world.submit(quick(&id, Kind::Service, 1));
+        let before = world.starts;
+        assert!(
+            world.run_until(800, |w| w.starts > before),
+            "{id} still waits after 0.8 s"
+        );
+        world.cancel(&id);
+    }
+    assert_eq!(world.broken, Vec::<String>::new());
+}
--- a/src/engine/tests/world.rs
+++ b/src/engine/tests/world.rs
@@ -89,6 +89,10 @@
     seq: u64,
     token: u64,
     sent: Ms,
+    /// When its next report is due.
+    due: Ms,
+    /// When a higher token last made it report.
+    rung: Ms,
     answered: Ms,
     busy: bool,
     pub tasks: BTreeMap<String, OnMachine>,
@@ -420,7 +424,11 @@
             }
             Ev::Store(node, epoch, op, call) => self.serve_store(node, epoch, op, &call),
             Ev::Command(node, epoch, command) => self.step(node, epoch, Some(command)),
-            Ev::Send(name) => self.send_report(&name),
+            Ev::Send(name) => {
+                if self.workers.get(&name).is_some_and(|w| w.due == self.now) {
+                    self.send_report(&name);
+                }
+            }
             Ev::Receive(name, seq, reply) => self.receive(&name, seq, reply),
             Ev::Direct(name, direct) => {
                 if self.faults.deaf.contains(&name) {
@@ -433,8 +441,16 @@
                     return;
                 };
                 if direct.token >= w.token && direct.session == w.session {
+                    let rises = direct.token > w.token;
                     w.token = direct.token;
                     w.seq += 1;
+                    // A higher token is reported at once, but not within half a second of the
+                    // last report, and not twice in half a lease.
+                    if rises && !w.busy && self.now >= w.rung + WORKER_LEASE / 2 {
+                        w.rung = self.now;
+                        let delay = (w.sent + 500).saturating_sub(self.now);
+                        self.send_in(&name, delay);
+                    }
                     self.execute(&name, &direct.orders);
                 }
             }
@@ -764,7 +780,7 @@
                     let node = self.first_node.unwrap_or(any);
                     self.workers
                         .insert(name.clone(), Worker::new(&rent.zone, node, self.now + BOOT));
-                    self.at(BOOT, Ev::Send(name.clone()));
+                    self.send_in(&name, BOOT);
                     names.push(name);
                 }
                 self.requests.insert(rent.request, names.clone());
@@ -798,13 +814,21 @@
 
     // The workers.
 
+    /// The worker's next report is due then; one that was due at another time is not sent.
+    fn send_in(&mut self, name: &str, delay: Ms) {
+        if let Some(w) = self.workers.get_mut(name) {
+            w.due = self.now + delay;
+            self.at(delay, Ev::Send(name.into()));
+        }
+    }
+
     fn send_report(&mut self, name: &str) {
         let (now, hung) = (self.now, self.faults.hung.contains(name));
         let Some(w) = self.workers.get_mut(name) else {
             return;
         };
         if hung || w.busy {
-            return self.at(500, Ev::Send(name.into()));
+            return self.send_in(name, 500);
         }
         w.seq += 1;
         w.busy = true;
@@ -886,7 +910,7 @@
                 next = 1000;
             }
         }
-        self.at(next, Ev::Send(name.into()));
+        self.send_in(name, next);
     }
 
     fn execute(&mut self, name: &str, orders: &[Order]) {
@@ -1026,6 +1050,8 @@
             seq: 0,
             token: 0,
             sent: 0,
+            due: 0,
+            rung: 0,
             answered: up_at,
             busy: false,
             tasks: BTreeMap::new(),
--- a/src/engine/watching.rs
+++ b/src/engine/watching.rs
@@ -138,6 +138,7 @@
                 Some(job) => job.version = version,
                 None => {
                     let spec = Spec::read(&record.job);
+                    tracing::debug!(job = %id, class = %spec.class, tasks = spec.tasks, "job seen");
                     self.arrivals.note(record.at_ms, &id, &spec);
                     let job = Job::new(spec, version, record.at_ms, Phase::Open, self.now);
                     self.jobs.insert(id.clone(), job);
--- a/src/http.rs
+++ b/src/http.rs
@@ -32,19 +32,24 @@
 
 impl Default for HttpClient {
     fn default() -> Self {
+        HttpClient::keeping(k::POOL_IDLE)
+    }
+}
+
+impl HttpClient {
+    /// Keeps up to that many idle connections to each address.
+    pub fn keeping(idle: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(k::CONNECT_TIMEOUT));
         let inner = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(k::POOL_IDLE_FOR)
-            .pool_max_idle_per_host(k::POOL_IDLE)
+            .pool_max_idle_per_host(idle)
             .build(connector);
         HttpClient { inner }
     }
-}
 
-impl HttpClient {
     /// Sends one request and reads its whole answer within `timeout`.
     pub async fn call(
         &self,
--- a/src/model/machine.rs
+++ b/src/model/machine.rs
@@ -1,6 +1,7 @@
 //! A rented machine as this leader knows it.
 
 use super::{JobId, MachineId, Ms, TaskId};
+use crate::constants::TOKEN_BITS;
 use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 
@@ -11,6 +12,32 @@
     pub seq: u64,
 }
 
+/// The right to give orders to workers, as they compare it: a leader's term, and a count below
+/// it that the leader raises to make a worker report at once.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Token(pub u64);
+
+impl Token {
+    /// The least token of a term.
+    pub fn first(term: u64) -> Self {
+        Token(term << TOKEN_BITS)
+    }
+
+    pub fn term(self) -> u64 {
+        self.0 >> TOKEN_BITS
+    }
+
+    /// A higher one of the same term; the same one if the term has no more.
+    pub fn next(self) -> Self {
+        let next = Token(self.0 + 1);
+        if next.term() == self.term() {
+            next
+        } else {
+            self
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MachinePhase {
     /// Rented or listed; no report with our token yet.
@@ -34,6 +61,10 @@
     /// When it last proved that it is alive and that our answers reach it (or we learnt of it).
     pub seen: Ms,
     pub tally: Tally,
+    /// The highest token it has seen or been sent in this leader's term.
+    pub token: Token,
+    /// When it was last sent a higher token to make it report.
+    pub rung: Option<Ms>,
     /// When its newest report came in: by itself no sign of life, since reports come late, and
     /// come from machines that our answers don't reach.
     pub received: Ms,
@@ -71,6 +102,8 @@
             rented: now,
             seen: now,
             tally: Tally::default(),
+            token: Token::default(),
+            rung: None,
             received: now,
             heard: false,
             direct: 0,
--- a/src/node.rs
+++ b/src/node.rs
@@ -93,8 +93,8 @@
         tracing::info!(node, zone = settings.zone, "starting");
         let http = HttpClient::default();
         let store = Arc::new(StoreClient::new(http.clone(), &settings));
-        let cloud = Arc::new(CloudClient::new(http.clone(), &settings));
-        let workers = WorkerClient::new(http);
+        let cloud = Arc::new(CloudClient::new(http, &settings));
+        let workers = WorkerClient::default();
         let (commands, inputs) = Commands::new();
         let (show, view) = watch::channel(View::default());
         let link = |p: &crate::settings::Peer| Link::new(p.node.clone(), p.addr);
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -17,14 +17,18 @@
     slots: Arc<Semaphore>,
 }
 
-impl WorkerClient {
-    pub fn new(http: HttpClient) -> Self {
+impl Default for WorkerClient {
+    fn default() -> Self {
         WorkerClient {
-            http,
+            // Kept connections to hundreds of workers would use up the sockets, and each worker is
+            // sent something every few seconds at most.
+            http: HttpClient::keeping(0),
             slots: Arc::new(Semaphore::new(k::WORKER_CALLS)),
         }
     }
+}
 
+impl WorkerClient {
     /// Sends the orders in the background.
     pub fn send(&self, addr: SocketAddr, orders: DirectOrders) {
         let Ok(slot) = self.slots.clone().try_acquire_owned() else {
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -20,6 +20,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use umbervale::http::{Answer, HttpClient};
+use umbervale::model::Token;
 use umbervale::node::Node;
 use umbervale::settings::Settings;
 use umbervale::wire::worker::{Elsewhere, Orders, Report};
@@ -439,7 +440,9 @@
         .expect("leads in time");
     assert!(orders.token >= 1 && orders.orders.is_empty());
     // A worker that has seen a later leader is sent away.
-    report.token = orders.token + 1;
+    let seen = Token(orders.token);
+    assert_eq!(seen, Token::first(seen.term()));
+    report.token = Token::first(seen.term() + 1).0;
     report.seq += 1;
     let answer = client
         .send(Method::POST, "/v1/report", Some(encode(&report)))
