--- a/src/engine/rounds.rs
+++ b/src/engine/rounds.rs
@@ -104,7 +104,8 @@
             .values()
             .filter(|machine| which(machine))
             .filter_map(|machine| {
-                let size = self.machine_type(&machine.machine_type)?.size;
+                let kind = self.machine_type(&machine.machine_type)?;
+                let size = kind.size;
                 let (mut used, mut settled) = (Resources::default(), Resources::default());
                 let mut fetching = Vec::new();
                 for task in &machine.tasks {
@@ -119,8 +120,8 @@
                     let image = &job.spec.image;
                     let ready = machine.has_image(image)
                         || matches!(stage, Some(Stage::Up(s)) if s != TaskState::Fetching);
-                    if !ready && !fetching.contains(image) {
-                        fetching.push(image.clone());
+                    if !ready && !fetching.iter().any(|(name, _)| name == image) {
+                        fetching.push((image.clone(), job.spec.image_gb));
                     }
                 }
                 Some(Slot {
@@ -137,6 +138,7 @@
                         .map(|(name, _)| name.clone())
                         .collect(),
                     fetching,
+                    boot_gb: kind.boot_gb(),
                 })
             })
             .collect()
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -231,19 +231,20 @@
             let t = types.get(&o.machine_type)?;
             spec.need
                 .fits_in(t.size)
-                .then(|| (share_price(t, o.spot), o, t.size))
+                .then(|| (share_price(t, o.spot), o, t))
         })
         .min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)))
-        .map(|(_, o, size)| Slot {
+        .map(|(_, o, t)| Slot {
             id: "".into(),
             machine_type: o.machine_type.clone(),
             zone: o.zone.clone(),
             spot: o.spot,
-            size,
-            room: size,
+            size: t.size,
+            room: t.size,
             settled: Resources::default(),
             images: Vec::new(),
             fetching: Vec::new(),
+            boot_gb: t.boot_gb(),
         })
 }
 
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -185,6 +185,11 @@
         }
     }
 
+    /// GB of images that it fetches in the time in which one of its type boots.
+    pub fn boot_gb(&self) -> f64 {
+        self.boot_ms as f64 / 1000.0 * self.fetch_gb_per_s
+    }
+
     pub fn price_of(&self, spot: bool) -> f64 {
         if spot { self.spot_price } else { self.price }
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -25,8 +25,10 @@
     pub settled: Resources,
     /// Images that it has.
     pub images: Vec<Arc<str>>,
-    /// Images that it is fetching, or will with the starts it was given.
-    pub fetching: Vec<Arc<str>>,
+    /// Images that it is fetching, or will with the starts it was given, and their GB.
+    pub fetching: Vec<(Arc<str>, f64)>,
+    /// GB that it fetches in the time in which another machine of its type boots.
+    pub boot_gb: f64,
 }
 
 impl Slot {
@@ -36,17 +38,31 @@
         if spec.kind == Kind::Service {
             self.settled += spec.need;
         }
-        if !self.images.contains(&spec.image) && !self.fetching.contains(&spec.image) {
-            self.fetching.push(spec.image.clone());
+        if !self.images.contains(&spec.image) && !self.fetches(&spec.image) {
+            self.fetching.push((spec.image.clone(), spec.image_gb));
         }
     }
 
+    fn fetches(&self, image: &Arc<str>) -> bool {
+        self.fetching.iter().any(|(name, _)| name == image)
+    }
+
+    /// Whether a task is better off here than on a machine that has yet to boot. Fetches on one
+    /// machine share its rate: behind more than a boot's worth of other images it is not.
+    /// (Filled with whatever waited, the first machines of the day took twice as long as need
+    /// be to have any of their images, and the next ones came up to find nothing to do.)
+    fn is_soon(&self, image: &Arc<str>) -> bool {
+        self.images.contains(image)
+            || self.fetches(image)
+            || self.fetching.iter().map(|(_, gb)| gb).sum::<f64>() <= self.boot_gb
+    }
+
     /// How soon a task would have its image here: it is there, is on its way, would be fetched
     /// alone, or would share the machine's rate with other fetches.
     fn image_rank(&self, image: &Arc<str>) -> usize {
         if self.images.contains(image) {
             0
-        } else if self.fetching.contains(image) {
+        } else if self.fetches(image) {
             1
         } else {
             2 + self.fetching.len()
@@ -354,6 +370,7 @@
             spec.need.fits_in(slot.room)
                 && allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
                 && zone_allows(spec, zones, &slot.zone)
+                && slot.is_soon(&spec.image)
         })
         .min_by_key(|(at, slot)| {
             let full = (slot.size - slot.room + spec.need).share_of(slot.size);
@@ -387,6 +404,7 @@
             settled: Resources::default(),
             images: Vec::new(),
             fetching: Vec::new(),
+            boot_gb: 10.0,
         }
     }
 
@@ -433,7 +451,7 @@
             slot("c", "east", 8.0),
         ];
         slots[0].room.gpus = 2000;
-        slots[0].fetching.push("img-9".into());
+        slots[0].fetching.push(("img-9".into(), 5.0));
         slots[1].images.push("img-1".into());
         slots[1].room.gpus = 1000;
         let plan = run(&job(Kind::Array, 3, |_| {}), &mut slots, None);
