Services stand with services, once the image is no nearer elsewhere

Hypothesis: preferring machines that hold services for services, and others for the rest, gathers them.

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -376,9 +376,14 @@
             let full = (slot.size - slot.room + spec.need).share_of(slot.size);
             // Ordinary machines are kept for jobs that may use no others.
             let dear = spec.spot && !slot.spot;
+            // What stays for long stands together, or it keeps many machines half empty when the
+            // work that ends has gone.
+            let stays = slot.settled != Resources::default();
+            let mixes = stays != (spec.kind == Kind::Service);
             (
                 dear,
                 slot.image_rank(&spec.image),
+                mixes,
                 std::cmp::Reverse(full),
                 *at,
             )
