--- a/src/engine/hiring.rs
+++ b/src/engine/hiring.rs
@@ -14,7 +14,7 @@
 
 #[derive(Debug)]
 pub(super) struct Hiring {
-    demand: Vec<Unplaced>,
+    pub demand: Vec<Unplaced>,
     /// Offers refused, until when, and for how long the next time.
     refused: BTreeMap<Offer, (Ms, u64)>,
     /// Names requests, together with the term.
--- a/src/engine/reports.rs
+++ b/src/engine/reports.rs
@@ -73,9 +73,10 @@
     }
 
     /// Answers reports at the end of the step that they came in, so that what the step decided
-    /// goes with the answer. If it decided on a round with starts for the machine, the answer
-    /// waits for the round to be written (some ms): else the starts would wait for the machine's
-    /// next report, seconds later.
+    /// goes with the answer. While a round is about to be planned, or is being written with starts
+    /// for the machine, the answer waits for it (some ms): else the starts would wait for the
+    /// machine's next report, seconds later. (Each new machine of a day's start lost one report's
+    /// interval so: it came up while another round was being written.)
     pub(super) fn answer_held(&mut self) {
         for mut held in std::mem::take(&mut self.held) {
             let Some(leader) = self.leader() else {
@@ -84,7 +85,7 @@
             };
             let token = leader.token_for(&held.machine.0, Token::default()).0;
             let young = self.now < held.since + k::HOLD_REPORT_MS;
-            if young && self.is_planned_on(&held.machine) {
+            if young && (self.is_placing() || self.is_planned_on(&held.machine)) {
                 self.held.push(held);
                 continue;
             }
--- a/src/engine/rounds.rs
+++ b/src/engine/rounds.rs
@@ -58,6 +58,14 @@
         self.set_demand(plan.unplaced);
     }
 
+    /// Whether a round is to be planned as soon as may be.
+    pub(super) fn is_placing(&self) -> bool {
+        self.confident()
+            && self
+                .leader()
+                .is_some_and(|l| l.dirty && !l.hiring.demand.is_empty())
+    }
+
     /// Plans on the model as it stands.
     fn plan(&self, most: usize) -> Plan {
         let mut teams = self.teams();
--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -591,3 +591,19 @@
     }
     assert_eq!(world.broken, Vec::<String>::new());
 }
+
+/// Machines that came up while a round was being planned for others once lost one report's
+/// interval each before they had anything to do.
+#[test]
+fn machines_that_come_up_together_all_get_work_at_once() {
+    let mut world = World::new(3, 40.0);
+    world.run(2_000);
+    for n in 0..10 {
+        let mut job = quick(&format!("run-{n}"), Kind::Array, 4);
+        job.estimate_s = 300.0;
+        world.submit(job);
+    }
+    assert!(world.run_until(60_000, |w| w.starts > 0));
+    world.run(1_000);
+    assert_eq!((world.workers.len(), world.starts), (10, 40));
+}
