Test world: a token raises a report once in half a lease, however it came

The test of machines that come up together passed without its change, since scripted workers reported on every raised token; now it fails without it.

--- a/src/engine/tests/world.rs
+++ b/src/engine/tests/world.rs
@@ -92,7 +92,7 @@
     /// When its next report is due.
     due: Ms,
     /// When a higher token last made it report.
-    rung: Ms,
+    rung: Option<Ms>,
     answered: Ms,
     busy: bool,
     pub tasks: BTreeMap<String, OnMachine>,
@@ -446,8 +446,7 @@
                     w.seq += 1;
                     // A higher token is reported at once, but not within half a second of the
                     // last report, and not twice in half a lease.
-                    if rises && !w.busy && self.now >= w.rung + WORKER_LEASE / 2 {
-                        w.rung = self.now;
+                    if rises && w.rings(self.now) && !w.busy {
                         let delay = (w.sent + 500).saturating_sub(self.now);
                         self.send_in(&name, delay);
                     }
@@ -886,7 +885,7 @@
             Some(Reply::Orders(orders)) => {
                 if orders.token >= w.token {
                     let before = w.tasks.len();
-                    if orders.token > w.token {
+                    if orders.token > w.token && w.rings(now) {
                         next = 500;
                     }
                     w.token = orders.token;
@@ -1041,6 +1040,15 @@
 }
 
 impl Worker {
+    /// Whether a higher token makes it report now: once in half a lease.
+    fn rings(&mut self, now: Ms) -> bool {
+        let rings = self.rung.is_none_or(|at| now >= at + WORKER_LEASE / 2);
+        if rings {
+            self.rung = Some(now);
+        }
+        rings
+    }
+
     fn new(zone: &str, node: usize, up_at: Ms) -> Worker {
         Worker {
             zone: zone.into(),
@@ -1051,7 +1059,7 @@
             token: 0,
             sent: 0,
             due: 0,
-            rung: 0,
+            rung: None,
             answered: up_at,
             busy: false,
             tasks: BTreeMap::new(),
