--- a/src/engine/hiring.rs
+++ b/src/engine/hiring.rs
@@ -5,7 +5,7 @@
 use crate::constants as k;
 use crate::fleet::{self, Waiting, Wanted};
 use crate::model::{Job, JobId, Machine, MachineId, MachinePhase, Ms, Phase, TaskId};
-use crate::placement::{Unplaced, preempt};
+use crate::placement::{Candidate, Unplaced, preempt};
 use crate::wire::cloud::{MachineState, Rent};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -54,6 +54,14 @@
     }
 }
 
+impl Hiring {
+    /// Offers refused a moment ago.
+    fn refused_now(&self, now: Ms) -> BTreeSet<Offer> {
+        let refused = self.refused.iter().filter(|(_, (until, _))| now < *until);
+        refused.map(|(offer, _)| offer.clone()).collect()
+    }
+}
+
 impl Engine {
     pub(super) fn set_demand(&mut self, unplaced: Vec<Unplaced>) {
         if let Some(leader) = self.leader_mut() {
@@ -84,8 +92,12 @@
             return;
         }
         leader.hiring.hire_at = now + k::UPKEEP_EVERY_MS;
-        self.preempt_when_due();
-        let wanted = self.wanted();
+        let candidates = self.candidates();
+        let victims = self.preemption(&candidates);
+        let wanted = self.wanted(&candidates);
+        if let Some((job, victims)) = victims {
+            self.preempt(job, victims);
+        }
         if let Some(leader) = self.leader_mut() {
             leader.hiring.keep = wanted.keep;
         }
@@ -123,19 +135,12 @@
             && leader.machines.values().any(long_up)
     }
 
-    fn wanted(&self) -> Wanted {
+    fn wanted(&self, candidates: &[Candidate<'_>]) -> Wanted {
         let (Some(leader), Some(types)) = (self.leader(), &self.types) else {
             return Wanted::default();
         };
         let now = self.now;
-        let refused: BTreeSet<Offer> = leader
-            .hiring
-            .refused
-            .iter()
-            .filter(|(_, (until, _))| now < *until)
-            .map(|(offer, _)| offer.clone())
-            .collect();
-        let candidates = self.candidates();
+        let refused = leader.hiring.refused_now(now);
         let mut waiting: Vec<Waiting<'_>> = leader
             .hiring
             .demand
@@ -170,24 +175,17 @@
         fleet::wanted(&waiting, slots, types, &offers, most)
     }
 
-    /// Makes room for the first waiting jobs where renting can't: the cloud has refused what
-    /// they could use, and nothing expected has room for them.
-    fn preempt_when_due(&mut self) {
+    /// Whom to stop for the first waiting job that renting can't help: the cloud has refused what
+    /// it could use, and nothing expected has room for it.
+    fn preemption(&self, candidates: &[Candidate<'_>]) -> Option<(JobId, Vec<TaskId>)> {
         let now = self.now;
-        let Some(leader) = self.leader() else { return };
-        if leader
-            .hiring
-            .refused
-            .values()
-            .all(|(until, _)| now >= *until)
-        {
-            return;
+        let leader = self.leader()?;
+        if leader.hiring.refused_now(now).is_empty() {
+            return None;
         }
         let guaranteed = self.guaranteed();
-        let candidates = self.candidates();
         let mut slots = self.slots(|m| self.is_expected(m));
         let running = preempt::running(self.jobs.iter(), |id| guaranteed.contains(id), now);
-        let mut chosen = None;
         for unplaced in &leader.hiring.demand {
             let Some(c) = candidates.iter().find(|c| *c.id == unplaced.job) else {
                 continue;
@@ -198,26 +196,29 @@
                 .get(c.id)
                 .is_some_and(|at| now < at + k::PREEMPT_MS);
             let fresh = now.saturating_sub(c.job.seen) < k::PREEMPT_AFTER_MS;
-            let waiting = [Waiting {
+            let waiting = Waiting {
                 job: c.job,
                 tasks: unplaced.tasks,
                 zones: c.zones.clone(),
-            }];
+            };
             let most = if c.job.is_gang() { unplaced.tasks } else { 1 };
             // Room that will soon be there is first come, first served: it is taken off for
             // the jobs after this one.
-            let short = !fleet::has_room(&waiting[0], &mut slots);
+            let short = !fleet::has_room(&waiting, &mut slots);
             if tried || fresh || !short {
                 continue;
             }
             let real = self.slots(Machine::takes_tasks);
             let victims = preempt::victims(c, most, &real, &running);
             if !victims.is_empty() {
-                chosen = Some((c.id.clone(), victims));
-                break;
+                return Some((c.id.clone(), victims));
             }
         }
-        let Some((id, victims)) = chosen else { return };
+        None
+    }
+
+    fn preempt(&mut self, id: JobId, victims: Vec<TaskId>) {
+        let now = self.now;
         tracing::info!(job = %id, victims = victims.len(), "stopping tasks to make room");
         if let Some(leader) = self.leader_mut() {
             leader
--- a/src/engine/leadership.rs
+++ b/src/engine/leadership.rs
@@ -70,8 +70,13 @@
     /// that a cancellation it has not heard of still ends in time: see the timing's grace.
     pub(super) fn may_answer(&self) -> bool {
         let grace = self.grace();
-        self.leader().is_some_and(|l| self.now < l.renewed + grace)
-            && self.fresh_at.is_some_and(|at| self.now < at + grace)
+        self.leader().is_some_and(|l| self.now < l.renewed + grace) && self.knows_cancellations()
+    }
+
+    /// Whether it has heard of all cancellations within the grace.
+    fn knows_cancellations(&self) -> bool {
+        let grace = self.grace();
+        self.fresh_at.is_some_and(|at| self.now < at + grace)
     }
 
     /// For how long after its last news this node still answers reports. A node that hears no
@@ -93,8 +98,7 @@
             .holder
             .as_ref()
             .filter(|h| h.node != self.settings.node)?;
-        let knows = self.fresh_at.is_some_and(|at| self.now < at + self.grace());
-        (knows && !self.hears(&holder.node)).then_some(holder)
+        (self.knows_cancellations() && !self.hears(&holder.node)).then_some(holder)
     }
 
     pub(super) fn lead_when_due(&mut self) {
--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -607,3 +607,19 @@
     world.run(1_000);
     assert_eq!((world.workers.len(), world.starts), (10, 40));
 }
+
+/// With the cloud out of reach since its start a node knows no machine types; it once was not
+/// ready for as long, and no question was answered.
+#[test]
+fn questions_are_answered_although_the_machine_types_are_not_known() {
+    let mut world = World::new(3, 8.0);
+    world.faults.cloud_down = true;
+    world.run(5_000);
+    assert!((0..3).all(|n| !world.engine(n).unwrap().view().ready));
+    world.run(10_000);
+    assert!((0..3).all(|n| world.engine(n).unwrap().view().ready));
+    world.faults.cloud_down = false;
+    world.run(5_000);
+    world.submit(quick("run-1", Kind::Array, 1));
+    ends_well(&mut world, "run-1", 60_000);
+}
