Among jobs that have waited too long the longest waiting go first

Cause: by priority among them, a lasting backlog of urgent work that is itself old would keep the rest waiting for ever. Test with twice the urgent work that the machines can do; it fails with the order by priority.

--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use crate::constants as k;
-use crate::wire::user::{Job, JobState, Kind, tests::job};
+use crate::wire::user::{Job, JobState, Kind, Priority, tests::job};
 use world::World;
 
 fn quick(id: &str, kind: Kind, tasks: u64) -> Job {
@@ -623,3 +623,36 @@
     world.submit(quick("run-1", Kind::Array, 1));
     ends_well(&mut world, "run-1", 60_000);
 }
+
+/// The largest array of the lowest priority, and a large service, with less capacity than urgent
+/// work alone asks for.
+#[test]
+fn the_largest_array_and_service_begin_within_four_minutes_under_urgent_work() {
+    let mut world = World::new(3, 400.0);
+    world.faults.capacity = Some(4);
+    world.run(2_000);
+    let mut array = quick("run-array", Kind::Array, 150);
+    array.priority = Priority::Low;
+    let mut service = quick("run-service", Kind::Service, 8);
+    (service.priority, service.spread) = (Priority::Normal, true);
+    let mut urgent = 0;
+    for second in 0..340 {
+        // Twice what the eight machines can do.
+        for _ in 0..2 {
+            urgent += 1;
+            let mut job = quick(&format!("run-{urgent}"), Kind::Array, 2);
+            (job.priority, job.estimate_s) = (Priority::High, 16.0);
+            world.submit(job);
+        }
+        if second == 100 {
+            world.submit(array.clone());
+            world.submit(service.clone());
+        }
+        world.run(1_000);
+    }
+    // Each start counts: nobody is stopped within 30 s of it. Later ones may be, for urgent work.
+    for id in ["run-array", "run-service"] {
+        assert!(world.begun.contains(id), "{id}: {}", world.describe());
+    }
+    assert_eq!(world.broken, Vec::<String>::new());
+}
--- a/src/engine/tests/world.rs
+++ b/src/engine/tests/world.rs
@@ -133,6 +133,8 @@
     pub cancelled: BTreeMap<String, Ms>,
     pub broken: Vec<String>,
     pub starts: u64,
+    /// Jobs of which something was started.
+    pub begun: BTreeSet<String>,
     pub returned: Vec<String>,
     /// The node that new machines' workers begin with, if a test cares.
     pub first_node: Option<usize>,
@@ -175,6 +177,7 @@
             cancelled: BTreeMap::new(),
             broken: Vec::new(),
             starts: 0,
+            begun: BTreeSet::new(),
             returned: Vec::new(),
             first_node: None,
             gpus_max,
@@ -957,6 +960,7 @@
         };
         w.tasks.insert(task.into(), fresh);
         self.starts += 1;
+        self.begun.insert(id.into());
         let on = |w: &Worker| {
             w.tasks
                 .get(task)
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -131,14 +131,19 @@
     pub unplaced: Vec<Unplaced>,
 }
 
-/// Orders jobs: who is served first. Among those that have waited too long, the rest of the order
-/// holds as well, so that a backlog as a whole is still served by priority.
+/// Orders jobs: who is served first. Those that have waited too long come before all others, in the
+/// order in which they were submitted: by priority, a lasting backlog of urgent work would keep the
+/// rest waiting for ever.
 pub fn order(candidates: &mut [Candidate<'_>]) {
     candidates.sort_by(|a, b| {
-        let key = |c: &Candidate<'_>| (c.aged, c.job.spec.priority, c.guaranteed);
-        key(b)
-            .cmp(&key(a))
-            .then_with(|| (a.job.due(), a.id).cmp(&(b.job.due(), b.id)))
+        let key = |c: &Candidate<'_>| match c.aged {
+            true => (c.aged, None, std::cmp::Reverse(c.job.submitted)),
+            false => {
+                let rank = Some((c.job.spec.priority, c.guaranteed));
+                (c.aged, rank, std::cmp::Reverse(c.job.due()))
+            }
+        };
+        key(b).cmp(&key(a)).then_with(|| a.id.cmp(b.id))
     });
 }
 
