One name for a reporting machine, one way to list zones, one world of two services

Found on reading the whole change again: a report's machine was named anew for each look-up of its token, holding room back listed the zones as placing a gang does, and two tests set up the same world. Behaviour is as it was.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -178,8 +178,8 @@
 
 impl Leader {
     /// The token to answer a machine with: of this term, and not below any that it has.
-    fn token_for(&self, machine: &str, seen: Token) -> Token {
-        let known = self.machines.get(&MachineId::from(machine));
+    fn token_for(&self, machine: &MachineId, seen: Token) -> Token {
+        let known = self.machines.get(machine);
         let known = known.map_or(Token::default(), |m| m.token);
         Token::first(self.term).max(known).max(seen)
     }
--- a/src/engine/reports.rs
+++ b/src/engine/reports.rs
@@ -7,7 +7,9 @@
 
 use super::{Effect, Engine, Reply, ReplyId, Role};
 use crate::constants as k;
-use crate::model::{JobId, Machine, MachineId, MachinePhase, Phase, Stage, Tally, TaskId, Token};
+use crate::model::{
+    JobId, Machine, MachineId, MachinePhase, Ms, Phase, Stage, Tally, TaskId, Token,
+};
 use crate::wire::user::Kind;
 use crate::wire::worker::{DirectOrders, Order, Orders, Report, Task, TaskState, Why};
 use std::collections::BTreeSet;
@@ -19,16 +21,16 @@
     machine: MachineId,
     tally: Tally,
     orders: Vec<Order>,
-    since: crate::model::Ms,
+    since: Ms,
 }
 
 /// What a node has done with a worker of a leader that it can't hear.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct SentOn {
     /// When it was last sent to the leader.
-    sent: crate::model::Ms,
+    sent: Ms,
     /// Until when it is answered in the leader's place.
-    until: crate::model::Ms,
+    until: Ms,
 }
 
 impl Engine {
@@ -48,7 +50,8 @@
             return self.reply(to, Reply::Unavailable);
         }
         let confirmed = seen.term() == leader.term;
-        let token = leader.token_for(&report.machine, seen);
+        let machine = MachineId::from(&*report.machine);
+        let token = leader.token_for(&machine, seen);
         let loaded = leader.loading.is_none();
         let mut orders = Vec::new();
         // Before the records are read, or until the worker confirms the token, its lease is
@@ -57,7 +60,7 @@
             self.reconcile(&report, &mut orders);
             let held = Held {
                 to,
-                machine: MachineId::from(&*report.machine),
+                machine,
                 tally: Tally {
                     session: report.session,
                     seq: report.seq,
@@ -83,7 +86,7 @@
                 self.reply(held.to, Reply::Unavailable);
                 continue;
             };
-            let token = leader.token_for(&held.machine.0, Token::default()).0;
+            let token = leader.token_for(&held.machine, Token::default()).0;
             let young = self.now < held.since + k::HOLD_REPORT_MS;
             if young && (self.is_placing() || self.is_planned_on(&held.machine)) {
                 self.held.push(held);
@@ -190,7 +193,7 @@
         if leader.gone.contains(&id) {
             return false;
         }
-        let seen = leader.token_for(&report.machine, Token(report.token));
+        let seen = leader.token_for(&id, Token(report.token));
         let machine = leader.machines.entry(id.clone()).or_insert_with(|| {
             tracing::info!(machine = %id, "unexpected machine reports");
             Machine::new(id, "".into(), "".into(), report.spot, now)
--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -23,6 +23,18 @@
     world
 }
 
+/// All eight replicas run, on machines of both zones.
+fn world_of_two_services() -> World {
+    let mut jobs = vec![
+        quick("run-1", Kind::Service, 4),
+        quick("run-2", Kind::Service, 4),
+    ];
+    jobs[1].spread = true;
+    let mut world = world_with(jobs);
+    assert!(world.run_until(60_000, |w| w.running("run-1") + w.running("run-2") == 8));
+    world
+}
+
 #[track_caller]
 fn ends_well(world: &mut World, id: &str, most_ms: u64) {
     let done = world.run_until(most_ms, |w| w.done(id));
@@ -230,13 +242,7 @@
 
 #[test]
 fn a_leader_that_has_lost_the_workers_hands_over() {
-    let mut jobs = vec![
-        quick("run-1", Kind::Service, 4),
-        quick("run-2", Kind::Service, 4),
-    ];
-    jobs[1].spread = true;
-    let mut world = world_with(jobs);
-    assert!(world.run_until(60_000, |w| w.running("run-1") + w.running("run-2") == 8));
+    let mut world = world_of_two_services();
     world.run(5_000);
     let (old, busy) = (world.leader().unwrap(), world.busy());
     world.faults.no_workers.insert(old);
@@ -424,13 +430,7 @@
 /// successor returns none of them meanwhile.
 #[test]
 fn a_leader_left_with_its_workers_alone_lets_them_go() {
-    let mut jobs = vec![
-        quick("run-1", Kind::Service, 4),
-        quick("run-2", Kind::Service, 4),
-    ];
-    jobs[1].spread = true;
-    let mut world = world_with(jobs);
-    assert!(world.run_until(60_000, |w| w.running("run-1") + w.running("run-2") == 8));
+    let mut world = world_of_two_services();
     world.run(10_000);
     let busy = world.busy();
     let old = world.leader().unwrap();
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -9,7 +9,7 @@
 use crate::model::{Job, JobId, MachineId, Resources, Spec};
 use crate::settings::Limit;
 use crate::wire::user::Kind;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// A machine, real or expected, with its room.
@@ -236,12 +236,15 @@
     }
 }
 
+/// The zones with machines in them.
+fn zones(slots: &[Slot]) -> BTreeSet<&Arc<str>> {
+    slots.iter().map(|s| &s.zone).collect()
+}
+
 /// Sets room aside for a gang that has waited too long: nothing that comes after it in the order
 /// starts on the machines of the zone that are nearest to having room for all of it. (Smaller
 /// work took each machine as it came free, and a gang of many whole machines never began.)
 fn hold_back(spec: &Spec, slots: &mut [Slot]) {
-    let zones: std::collections::BTreeSet<Arc<str>> =
-        slots.iter().map(|s| s.zone.clone()).collect();
     let choice = |only: Option<&Arc<str>>| {
         let mut fitting: Vec<(Resources, usize)> = slots
             .iter()
@@ -269,8 +272,8 @@
         (left == 0).then_some((ending, held))
     };
     let best = match spec.one_zone {
-        true => zones
-            .iter()
+        true => zones(slots)
+            .into_iter()
             .filter_map(|zone| choice(Some(zone)))
             .min_by_key(|(ending, _)| *ending),
         false => choice(None),
@@ -347,8 +350,7 @@
     if !spec.one_zone {
         return try_in(None);
     }
-    let zones: std::collections::BTreeSet<&Arc<str>> = slots.iter().map(|s| &s.zone).collect();
-    zones
+    zones(slots)
         .into_iter()
         .filter_map(|zone| try_in(Some(zone)))
         .min_by_key(|places| {
