--- a/src/api/limit.rs
+++ b/src/api/limit.rs
@@ -1,27 +1,59 @@
-//! A listener that keeps the number of open connections below the machine's limit of sockets:
-//! past it, connections wait in the system's queue, where the load balancer passes them over.
+//! Connections on `front`, kept below the machine's limit of sockets, so that users, probes and
+//! workers always find one.
+//!
+//! A machine that is gone leaves its connection open, and so does a cut: without a word for
+//! longer than any caller pauses, a connection is closed. (Left open, those of returned machines
+//! took every socket in the course of a day, and new machines could not report: a thousand were
+//! returned as "never came up".) And there may be more workers than sockets: past a share of
+//! them, whatever is answered closes its connection, so that the rest is free for requests
+//! under way. Past the limit, connections wait in the system's queue, where the load balancer
+//! passes them over.
 
+use crate::constants as k;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{Instant, Sleep, sleep};
 
-pub struct LimitedListener {
-    inner: TcpListener,
+/// The connections there may be.
+#[derive(Clone)]
+pub struct Connections {
     slots: Arc<Semaphore>,
+    most: usize,
+    /// A caller that has work to do here does not pause for longer.
+    pause: Duration,
 }
 
-impl LimitedListener {
-    pub fn new(inner: TcpListener, most: usize) -> Self {
-        LimitedListener {
-            inner,
+impl Connections {
+    pub fn new(most: usize, pause: Duration) -> Self {
+        Connections {
             slots: Arc::new(Semaphore::new(most)),
+            most,
+            pause,
         }
     }
+
+    /// Whether so many are open that none should stay open between requests.
+    pub fn crowded(&self) -> bool {
+        self.slots.available_permits() < self.most / k::SPARE_CONNECTIONS
+    }
+}
+
+pub struct LimitedListener {
+    inner: TcpListener,
+    connections: Connections,
+}
+
+impl LimitedListener {
+    pub fn new(inner: TcpListener, connections: Connections) -> Self {
+        LimitedListener { inner, connections }
+    }
 }
 
 impl axum::serve::Listener for LimitedListener {
@@ -30,18 +62,12 @@
 
     async fn accept(&mut self) -> (Limited, SocketAddr) {
         loop {
-            let slot = self.slots.clone().acquire_owned().await;
+            let slot = self.connections.slots.clone().acquire_owned().await;
             // axum's own accept waits and tries again after an error, such as no free socket.
             let (stream, addr) = axum::serve::Listener::accept(&mut self.inner).await;
             let _ = stream.set_nodelay(true);
             if let Ok(slot) = slot {
-                return (
-                    Limited {
-                        stream,
-                        _slot: slot,
-                    },
-                    addr,
-                );
+                return (Limited::new(stream, slot, self.connections.pause), addr);
             }
         }
     }
@@ -51,10 +77,26 @@
     }
 }
 
-/// A connection that frees its slot when it is dropped.
+/// A connection that ends when nothing has been read or written for too long, and frees its
+/// slot when it is dropped.
 pub struct Limited {
     stream: TcpStream,
     _slot: OwnedSemaphorePermit,
+    pause: Duration,
+    used: Instant,
+    check: Pin<Box<Sleep>>,
+}
+
+impl Limited {
+    fn new(stream: TcpStream, slot: OwnedSemaphorePermit, pause: Duration) -> Self {
+        Limited {
+            stream,
+            _slot: slot,
+            pause,
+            used: Instant::now(),
+            check: Box::pin(sleep(pause)),
+        }
+    }
 }
 
 impl AsyncRead for Limited {
@@ -63,7 +105,19 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        if let Poll::Ready(read) = Pin::new(&mut self.stream).poll_read(cx, buf) {
+            self.used = Instant::now();
+            return Poll::Ready(read);
+        }
+        // The timer is set once a pause, not with each read.
+        loop {
+            ready!(self.check.as_mut().poll(cx));
+            let end = self.used + self.pause;
+            if Instant::now() >= end {
+                return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+            }
+            self.check.as_mut().reset(end);
+        }
     }
 }
 
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -4,16 +4,16 @@
 //! or writes a submission or cancellation there under a condition. Only a final state, which
 //! cannot change, is answered from memory.
 
-mod finals;
 mod limit;
 
-pub use limit::LimitedListener;
+pub use limit::{Connections, LimitedListener};
 
 use crate::constants as k;
 use crate::engine::{self, Command, FinalRecord, JobRecord, Reply, View};
 use crate::model::{JobId, Resources, Spec, Types};
 use crate::node::{Commands, wall_ms};
 use crate::peer::{Link, Message};
+use crate::recent::Recent;
 use crate::settings::Settings;
 use crate::store::{StoreCall, StoreClient, StoreError, StoreReply, Urgency};
 use crate::wire::store::Txn;
@@ -24,8 +24,8 @@
 use axum::body::{Body, to_bytes};
 use axum::extract::{DefaultBodyLimit, Path, State};
 use axum::http::{Response, StatusCode};
+use axum::middleware::map_response;
 use axum::routing::{get, post};
-use finals::Finals;
 use std::sync::{Arc, Mutex};
 use tokio::sync::{Semaphore, watch};
 
@@ -35,7 +35,8 @@
     pub commands: Commands,
     pub view: watch::Receiver<View>,
     pub peers: Arc<Vec<Link>>,
-    finals: Mutex<Finals>,
+    /// Final states seen here: they never change, so they need no fresh read.
+    finals: Mutex<Recent<String, (JobState, u64)>>,
     calls: Semaphore,
 }
 
@@ -69,12 +70,19 @@
             commands,
             view,
             peers,
-            finals: Mutex::new(Finals::new(k::FINAL_CACHE)),
+            finals: Mutex::new(Recent::new(k::FINAL_CACHE)),
             calls: Semaphore::new(k::USER_CALLS),
         })
     }
 
-    pub fn router(self: Arc<Self>) -> Router {
+    pub fn router(self: Arc<Self>, connections: Connections) -> Router {
+        let leave = move |mut response: Answer| {
+            if connections.crowded() {
+                let close = axum::http::HeaderValue::from_static("close");
+                response.headers_mut().insert("connection", close);
+            }
+            std::future::ready(response)
+        };
         Router::new()
             .route("/submissions", post(submit))
             .route("/submissions/{id}", get(poll))
@@ -82,6 +90,7 @@
             .route("/ready", get(ready))
             .route("/v1/report", post(report))
             .layer(DefaultBodyLimit::disable())
+            .layer(map_response(leave))
             .with_state(self)
     }
 
@@ -100,7 +109,7 @@
     /// there to the final ones in one transaction, so whoever misses it in both reads never
     /// was accepted before the first.
     async fn look_up(&self, id: &str) -> Result<Known, StoreError> {
-        if let Some((state, tasks)) = self.finals().get(id) {
+        if let Some((state, tasks)) = self.remembered(id) {
             return Ok(Known::Final(state, tasks));
         }
         if let Some(item) = self.get(engine::job_key(id)).await? {
@@ -111,8 +120,7 @@
                 return Ok(Known::Unreadable { version });
             };
             if record.cancelled {
-                self.finals()
-                    .insert(id, JobState::Cancelled, record.job.tasks);
+                self.remember(id, JobState::Cancelled, record.job.tasks);
                 return Ok(Known::Final(JobState::Cancelled, record.job.tasks));
             }
             return Ok(Known::Open {
@@ -125,12 +133,18 @@
         };
         let record = engine::read_final(item.value)
             .ok_or_else(|| StoreError::Bad(format!("final record of {id} can't be read")))?;
-        self.finals().insert(id, record.state, record.tasks);
+        self.remember(id, record.state, record.tasks);
         Ok(Known::Final(record.state, record.tasks))
     }
 
-    fn finals(&self) -> std::sync::MutexGuard<'_, Finals> {
-        self.finals.lock().unwrap_or_else(|e| e.into_inner())
+    fn remembered(&self, id: &str) -> Option<(JobState, u64)> {
+        let finals = self.finals.lock().unwrap_or_else(|e| e.into_inner());
+        finals.get(id).copied()
+    }
+
+    fn remember(&self, id: &str, state: JobState, tasks: u64) {
+        let mut finals = self.finals.lock().unwrap_or_else(|e| e.into_inner());
+        finals.insert(id.to_owned(), (state, tasks));
     }
 
     async fn status(&self, id: &str, known: &Known) -> Option<JobStatus> {
@@ -222,8 +236,7 @@
                 known => Ok(self.accepted(&job.id, &known).await),
             };
         }
-        let last = self.finals().get(&job.id);
-        if let Some((state, tasks)) = last {
+        if let Some((state, tasks)) = self.remembered(&job.id) {
             return Ok(self.accepted(&job.id, &Known::Final(state, tasks)).await);
         }
         let (live, last) = (engine::job_key(&job.id), engine::final_key(&job.id));
@@ -324,7 +337,7 @@
             let txn = txn.put(engine::final_key(id), engine::final_value(&last));
             match self.call(StoreCall::Commit(txn)).await {
                 Ok(_) => {
-                    self.finals().insert(id, JobState::Cancelled, tasks);
+                    self.remember(id, JobState::Cancelled, tasks);
                     let known = Known::Final(JobState::Cancelled, tasks);
                     return Ok(self.accepted(id, &known).await);
                 }
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -32,9 +32,9 @@
 /// Machines a page of the cloud's list: the protocol's most.
 pub const MACHINE_PAGE: u64 = 500;
 
-/// Commands waiting for the engine. Each worker has one report in flight, so this is far more
-/// than a fleet's worth; beyond it requests are refused with 503.
-pub const ENGINE_QUEUE: usize = 1024;
+/// Outcomes of the node's own calls, and peers' messages, waiting for the engine, beside one
+/// request of each connection. Past all of that requests are refused with 503.
+pub const ENGINE_QUEUE: usize = 256;
 /// Commands taken in one batch, so that a flood cannot hold up time-driven work.
 pub const ENGINE_BATCH: usize = 128;
 /// The engine's heartbeat when nothing happens: bounds how late a time-out is noticed, and
@@ -73,8 +73,11 @@
 pub const POOL_IDLE_FOR: Duration = Duration::from_secs(20);
 /// Calls at once to the state service on behalf of users: past it users get 503 at once.
 pub const USER_CALLS: usize = 64;
-/// Orders sent directly to workers at once.
-pub const WORKER_CALLS: usize = 32;
+/// Orders sent directly to workers at once: a hung machine takes up [`CONNECT_TIMEOUT`], and when
+/// a rack hangs, the stops of its gangs' other tasks must go out within some seconds.
+pub const WORKER_CALLS: usize = 96;
+/// And waiting to be, of stops and of other calls each: twice the largest fleet.
+pub const WORKER_CALLS_WAITING: usize = 4096;
 /// How long a user's request may wait for the state service before it is answered 503: below
 /// the 2 s that a polling user waits.
 pub const USER_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -90,8 +93,8 @@
 
 /// How long a worker waits for the answer to its report, ms, by the protocol.
 pub const WORKER_WAIT_MS: u64 = 4_000;
-/// Workers remembered that were sent on to a leader that can't be heard: several times the
-/// largest fleet; any more are treated as if they came for the first time.
+/// Workers remembered that were sent on to a leader that can't be heard: twice the largest
+/// fleet; any more are treated as if they came for the first time.
 pub const SENT_ON_MOST: usize = 4096;
 /// A node that has not learnt the machine types for this long after its start, ms, serves users'
 /// questions without them: usually the first call tells, and until then others serve better.
@@ -126,8 +129,9 @@
 /// most: a job submitted with a mistake fails everywhere and must not eat the fleet.
 pub const FAILED_FIRST_MS: u64 = 1_000;
 pub const FAILED_MOST_MS: u64 = 60_000;
-/// Returned machines remembered, so that late reports and lagging lists do not bring them back.
-pub const GONE_REMEMBERED: usize = 4096;
+/// Returned machines remembered, so that late reports and lagging lists do not bring them back:
+/// a list is late by half a minute, a report by minutes, and a day returns a few thousand.
+pub const GONE_REMEMBERED: usize = 8192;
 /// Tasks a record of finished tasks covers: as hexadecimal text 2 KiB, far below the least
 /// sensible value limit.
 pub const DONE_CHUNK: u32 = 8192;
@@ -153,6 +157,9 @@
 pub const DEFAULT_CONNECTIONS: usize = 1000;
 /// Connections accepted on `front` however small the machine: workers and probes need some.
 pub const FRONT_CONNECTIONS_MIN: usize = 64;
+/// One in so many of them is kept for requests under way, so that users, probes and workers
+/// without an open connection find one: an answer takes some ms, at most [`HOLD_REPORT_MS`].
+pub const SPARE_CONNECTIONS: usize = 8;
 /// Least time, s, between a worker's lease and the time allowed for a cancellation: the grace
 /// in which a leader without news still answers reports must span a few renewals and watches.
 pub const CANCEL_SLACK_MIN_S: f64 = 3.0;
--- a/src/engine/hiring.rs
+++ b/src/engine/hiring.rs
@@ -326,7 +326,7 @@
         }
         for listed in list.machines {
             let id = MachineId::from(&*listed.id);
-            if leader.gone.contains(&id) {
+            if leader.gone.get(&id).is_some() {
                 continue;
             }
             let age = (listed.age_s.clamp(0.0, 1e9) * 1000.0) as u64;
@@ -493,10 +493,7 @@
                 });
                 lost.extend(machine.tasks);
             }
-            leader.gone.push_back(id);
-            if leader.gone.len() > k::GONE_REMEMBERED {
-                leader.gone.pop_front();
-            }
+            leader.gone.insert(id, ());
         }
         for task in lost {
             tracing::info!(%task, "task lost with its machine");
--- a/src/engine/leadership.rs
+++ b/src/engine/leadership.rs
@@ -9,9 +9,9 @@
 use crate::constants as k;
 use crate::model::Ms;
 use crate::peer::Announcement;
+use crate::recent::Recent;
 use crate::store::{StoreCall, StoreError, StoreReply};
 use crate::wire::store::Txn;
-use std::collections::VecDeque;
 
 /// Less what the steady clock may have lost.
 fn less_drift(ms: u64) -> u64 {
@@ -211,7 +211,7 @@
             loading: Some(recovery::Part::Work),
             since: self.now,
             machines: Default::default(),
-            gone: VecDeque::new(),
+            gone: Recent::new(k::GONE_REMEMBERED),
             rounds: rounds::Rounds::default(),
             ends: ends::Ends::default(),
             hiring: hiring::Hiring::new(self.now),
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -25,12 +25,13 @@
 use crate::constants as k;
 use crate::model::{Job, JobId, MachineId, MachineType, Ms, Token, Types};
 use crate::peer::Announcement;
+use crate::recent::Recent;
 use crate::settings::{Settings, Timing};
 use crate::store::{StoreCall, StoreError, StoreReply};
 use crate::wire::worker::{DirectOrders, Orders, Report};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -168,7 +169,8 @@
     loading: Option<recovery::Part>,
     since: Ms,
     machines: machines::Machines,
-    gone: VecDeque<MachineId>,
+    /// Machines that were returned.
+    gone: Recent<MachineId, ()>,
     rounds: rounds::Rounds,
     ends: ends::Ends,
     hiring: hiring::Hiring,
@@ -245,6 +247,7 @@
     term_heard: u64,
     /// Workers of a leader that can't be heard from here.
     sent_on: BTreeMap<MachineId, reports::SentOn>,
+    sent_on_at: Ms,
     /// When each peer was last heard of, and whether the state service answers it.
     peers: BTreeMap<String, (Ms, bool)>,
 }
@@ -275,6 +278,7 @@
             campaign: Retry::default(),
             term_heard: 0,
             sent_on: BTreeMap::new(),
+            sent_on_at: 0,
             peers: BTreeMap::new(),
         }
     }
--- a/src/engine/reports.rs
+++ b/src/engine/reports.rs
@@ -12,7 +12,7 @@
 };
 use crate::wire::user::Kind;
 use crate::wire::worker::{DirectOrders, Order, Orders, Report, Task, TaskState, Why};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A report that has been worked through and waits for its answer.
 #[derive(Debug)]
@@ -156,10 +156,15 @@
     /// answered when it comes back; and all are sent there again after half a lease.
     fn stands_in(&mut self, machine: &str, knows_term: bool) -> bool {
         let (now, lease) = (self.now, self.timing.worker_lease);
-        self.sent_on
-            .retain(|_, s| now < s.sent.max(s.until) + lease);
+        // Not at each report: there may be thousands of both.
+        if now >= self.sent_on_at {
+            self.sent_on_at = now + k::UPKEEP_EVERY_MS;
+            self.sent_on
+                .retain(|_, s| now < s.sent.max(s.until) + lease);
+        }
         let id = MachineId::from(machine);
         let known = self.sent_on.get(&id).copied();
+        let known = known.filter(|s| now < s.sent.max(s.until) + lease);
         if known.is_some_and(|s| now < s.until) {
             return true;
         }
@@ -190,7 +195,7 @@
             return false;
         };
         let id = MachineId::from(&*report.machine);
-        if leader.gone.contains(&id) {
+        if leader.gone.get(&id).is_some() {
             return false;
         }
         let seen = leader.token_for(&id, Token(report.token));
@@ -560,11 +565,9 @@
             return;
         };
         let Some(job) = self.jobs.get(id) else { return };
+        let mut stops: BTreeMap<&MachineId, Vec<Order>> = BTreeMap::new();
         for (index, placement) in &job.live {
             let Some(stop) = placement.stop else { continue };
-            let Some(machine) = leader.machines.get_mut(&placement.machine) else {
-                continue;
-            };
             let order = Order::Stop {
                 task: TaskId {
                     job: id.clone(),
@@ -574,7 +577,12 @@
                 attempt: placement.attempt,
                 grace_s: stop.grace_s,
             };
-            self.out.extend(order_directly(machine, vec![order]));
+            stops.entry(&placement.machine).or_default().push(order);
+        }
+        for (machine, orders) in stops {
+            if let Some(machine) = leader.machines.get_mut(machine) {
+                self.out.extend(order_directly(machine, orders));
+            }
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod node;
 pub mod peer;
 pub mod placement;
+pub mod recent;
 pub mod settings;
 pub mod store;
 pub mod tokens;
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,6 +1,6 @@
 //! A running controller node: the engine's queue, and the tasks that carry out its effects.
 
-use crate::api::{Api, LimitedListener};
+use crate::api::{Api, Connections, LimitedListener};
 use crate::cloud::CloudClient;
 use crate::constants as k;
 use crate::engine::{Command, Effect, Engine, Reply, ReplyId, View};
@@ -35,8 +35,9 @@
 }
 
 impl Commands {
-    fn new() -> (Self, mpsc::Receiver<Input>) {
-        let (queue, inputs) = mpsc::channel(k::ENGINE_QUEUE);
+    /// With room for a request of each connection.
+    fn new(connections: usize) -> (Self, mpsc::Receiver<Input>) {
+        let (queue, inputs) = mpsc::channel(connections + k::ENGINE_QUEUE);
         (
             Commands {
                 queue,
@@ -95,7 +96,7 @@
         let store = Arc::new(StoreClient::new(http.clone(), &settings));
         let cloud = Arc::new(CloudClient::new(http, &settings));
         let workers = WorkerClient::default();
-        let (commands, inputs) = Commands::new();
+        let (commands, inputs) = Commands::new(settings.front_connections());
         let (show, view) = watch::channel(View::default());
         let link = |p: &crate::settings::Peer| Link::new(p.node.clone(), p.addr);
         let peers: Arc<Vec<Link>> = Arc::new(settings.peers.iter().map(link).collect());
@@ -119,9 +120,10 @@
             view.clone(),
             commands.clone(),
         ));
-        let connections = settings.front_connections();
+        let connections = Connections::new(settings.front_connections(), settings.timing().pause());
         let api = Api::new(settings, store, commands, view, peers);
-        axum::serve(LimitedListener::new(front, connections), api.router()).await
+        let front = LimitedListener::new(front, connections.clone());
+        axum::serve(front, api.router(connections)).await
     }
 }
 
--- /dev/null
+++ b/src/recent.rs
@@ -0,0 +1,56 @@
+//! A bounded memory: past its size, what came first is forgotten.
+
+use std::borrow::Borrow;
+use std::collections::{BTreeMap, VecDeque};
+
+#[derive(Debug)]
+pub struct Recent<K, V> {
+    most: usize,
+    values: BTreeMap<K, V>,
+    /// Oldest first.
+    order: VecDeque<K>,
+}
+
+impl<K: Ord + Clone, V> Recent<K, V> {
+    pub fn new(most: usize) -> Self {
+        Recent {
+            most,
+            values: BTreeMap::new(),
+            order: VecDeque::new(),
+        }
+    }
+
+    pub fn get<Q: Ord + ?Sized>(&self, key: &Q) -> Option<&V>
+    where
+        K: Borrow<Q>,
+    {
+        self.values.get(key)
+    }
+
+    pub fn insert(&mut self, key: K, value: V) {
+        if self.values.insert(key.clone(), value).is_none() {
+            self.order.push_back(key);
+        }
+        if self.order.len() > self.most
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.values.remove(&oldest);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_oldest_is_dropped() {
+        let mut recent = Recent::new(2);
+        for id in ["a", "b", "b", "c"] {
+            recent.insert(id, 1);
+        }
+        assert_eq!(recent.get("a"), None);
+        assert_eq!(recent.get("b"), Some(&1));
+        assert_eq!(recent.values.len(), 2);
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
 /// What is wrong with a settings file.
 #[derive(Debug, thiserror::Error)]
@@ -317,6 +318,12 @@
 }
 
 impl Timing {
+    /// No caller leaves an open connection unused for longer: workers report more often, users
+    /// ask about every 5 s.
+    pub fn pause(&self) -> Duration {
+        Duration::from_millis(2 * self.on_time)
+    }
+
     fn new(w: &Workers) -> Timing {
         let ms = |s: f64| (s * 1000.0) as u64;
         let slow = |t: u64| t + t * k::DRIFT_PPM / 1_000_000;
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -1,20 +1,59 @@
-//! Orders sent directly to a worker. They only ever stop tasks: a late start could run a task
-//! twice, a late stop cannot harm. They are also in the answer to the worker's next report, so
-//! one that fails, or finds too many under way, is simply dropped.
+//! Orders sent directly to a worker: stops, or nothing but a higher token that makes the worker
+//! report at once. Never a start: a late one could run a task twice, a late stop cannot harm.
+//!
+//! Stops go before the rest. What finds no room in the queue is dropped: stops are also in the
+//! answer to the worker's next report.
 
 use crate::constants as k;
 use crate::http::HttpClient;
 use crate::wire::encode;
 use crate::wire::worker::DirectOrders;
 use hyper::Method;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use tokio::sync::Semaphore;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+type Call = (SocketAddr, DirectOrders);
+
+/// Calls that wait, and how many are under way.
+#[derive(Debug, Default)]
+struct Queue {
+    stops: VecDeque<Call>,
+    rest: VecDeque<Call>,
+    under_way: usize,
+}
+
+impl Queue {
+    /// Whether the call may begin now; otherwise it waits, if there is room.
+    fn begins(&mut self, call: Call) -> Option<Call> {
+        if self.under_way < k::WORKER_CALLS {
+            self.under_way += 1;
+            return Some(call);
+        }
+        let queue = match call.1.orders.is_empty() {
+            true => &mut self.rest,
+            false => &mut self.stops,
+        };
+        if queue.len() < k::WORKER_CALLS_WAITING {
+            queue.push_back(call);
+        } else {
+            tracing::debug!(addr = %call.0, "too many orders wait, left to the next report");
+        }
+        None
+    }
+
+    /// The call that takes the place of one that is over.
+    fn next(&mut self) -> Option<Call> {
+        let next = self.stops.pop_front().or_else(|| self.rest.pop_front());
+        self.under_way -= usize::from(next.is_none());
+        next
+    }
+}
 
 #[derive(Clone)]
 pub struct WorkerClient {
     http: HttpClient,
-    slots: Arc<Semaphore>,
+    queue: Arc<Mutex<Queue>>,
 }
 
 impl Default for WorkerClient {
@@ -23,33 +62,93 @@
             // Kept connections to hundreds of workers would use up the sockets, and each worker is
             // sent something every few seconds at most.
             http: HttpClient::keeping(0),
-            slots: Arc::new(Semaphore::new(k::WORKER_CALLS)),
+            queue: Arc::default(),
         }
     }
 }
 
 impl WorkerClient {
+    fn queue(&self) -> MutexGuard<'_, Queue> {
+        self.queue.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     /// Sends the orders in the background.
     pub fn send(&self, addr: SocketAddr, orders: DirectOrders) {
-        let Ok(slot) = self.slots.clone().try_acquire_owned() else {
-            tracing::debug!(%addr, "too many orders under way, left to the next report");
+        let mut next = self.queue().begins((addr, orders));
+        if next.is_none() {
             return;
-        };
-        let http = self.http.clone();
+        }
+        let client = self.clone();
         tokio::spawn(async move {
-            let call = http.call(
-                Method::POST,
-                addr,
-                "/commands",
-                Some(encode(&orders)),
-                k::WORKER_TIMEOUT,
-            );
-            match call.await {
-                Ok(answer) if answer.status == 200 => {}
-                Ok(answer) => tracing::debug!(%addr, status = answer.status, "orders refused"),
-                Err(e) => tracing::debug!(%addr, "orders: {e}"),
+            while let Some((addr, orders)) = next {
+                client.call(addr, &orders).await;
+                next = client.queue().next();
             }
-            drop(slot);
         });
     }
+
+    async fn call(&self, addr: SocketAddr, orders: &DirectOrders) {
+        let body = Some(encode(orders));
+        let call = self
+            .http
+            .call(Method::POST, addr, "/commands", body, k::WORKER_TIMEOUT);
+        match call.await {
+            Ok(answer) if answer.status == 200 => {}
+            Ok(answer) => tracing::debug!(%addr, status = answer.status, "orders refused"),
+            Err(e) => tracing::debug!(%addr, "orders: {e}"),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::wire::worker::Order;
+
+    fn call(port: u16, stops: usize) -> Call {
+        let stop = Order::Stop {
+            task: "run-1/0".into(),
+            attempt: 1,
+            grace_s: 0,
+        };
+        let orders = DirectOrders {
+            token: 1,
+            session: 1,
+            orders: vec![stop; stops],
+        };
+        (([127, 0, 0, 1], port).into(), orders)
+    }
+
+    /// A round's calls to its machines once took every place, and the stops of a gang that came
+    /// after them were dropped.
+    #[test]
+    fn stops_are_not_lost_behind_the_rest() {
+        let mut queue = Queue::default();
+        for port in 0..300 {
+            queue.begins(call(port, 0));
+        }
+        for port in 300..320 {
+            assert!(queue.begins(call(port, 1)).is_none(), "it waits");
+        }
+        let stops: Vec<u16> = (0..20).map(|_| queue.next().unwrap().0.port()).collect();
+        assert_eq!(stops, (300..320).collect::<Vec<u16>>(), "stops come first");
+        let mut rest = 0;
+        while queue.next().is_some() {
+            rest += 1;
+        }
+        assert_eq!(rest, 300 - k::WORKER_CALLS, "and the rest after them");
+        for _ in 1..k::WORKER_CALLS {
+            assert!(queue.next().is_none());
+        }
+        assert_eq!(queue.under_way, 0);
+    }
+
+    #[test]
+    fn the_queue_is_bounded() {
+        let mut queue = Queue::default();
+        for port in 0..u16::MAX {
+            queue.begins(call(port, 1));
+        }
+        assert_eq!(queue.stops.len(), k::WORKER_CALLS_WAITING);
+    }
 }
