--- a/src/constants.rs
+++ b/src/constants.rs
@@ -135,8 +135,9 @@
 /// Tasks a record of finished tasks covers: as hexadecimal text 2 KiB, far below the least
 /// sensible value limit.
 pub const DONE_CHUNK: u32 = 8192;
-/// Tasks one round may start: keeps a round's record and its undo short.
-pub const ROUND_STARTS: usize = 96;
+/// Tasks one round may start, in as many records as that takes: with its conditions it stays well
+/// below the 64 KiB of a transaction. No larger gang can be placed.
+pub const ROUND_STARTS: usize = 512;
 /// Unplaced tasks of one job that are counted: more than one rental could ever serve.
 pub const UNPLACED_MOST: u32 = 400;
 /// Between two placing passes, ms: submissions of a burst share a round.
@@ -169,6 +170,9 @@
 pub const ARRIVALS_MS: u64 = 180_000;
 /// A job waits this long, ms, before others are stopped for it: room often comes up by itself.
 pub const PREEMPT_AFTER_MS: u64 = 3_000;
+/// Jobs for which victims are looked for in vain in one pass; they are looked at again after
+/// [`PREEMPT_AFTER_MS`], so that the next ones get their turn.
+pub const PREEMPT_TRIES: usize = 8;
 /// And this long before more are stopped for it: stopping with a checkpoint, reporting it and
 /// starting take several seconds.
 pub const PREEMPT_MS: u64 = 15_000;
--- a/src/engine/hiring.rs
+++ b/src/engine/hiring.rs
@@ -26,7 +26,8 @@
     list_after: Option<String>,
     returns: Retry,
     upkeep_at: Ms,
-    /// Jobs for which tasks were stopped a moment ago.
+    /// Jobs for which tasks were stopped a moment ago, or found not to be, and until when they
+    /// are not looked at again.
     preempted: BTreeMap<JobId, Ms>,
     /// Idle machines that are kept for what is expected.
     keep: BTreeSet<MachineId>,
@@ -94,13 +95,20 @@
         leader.hiring.hire_at = now + k::UPKEEP_EVERY_MS;
         self.refresh_slots();
         let candidates = self.candidates();
-        let victims = self.preemption(&candidates);
+        let (victims, in_vain) = self.preemption(&candidates);
         let wanted = self.wanted(&candidates);
-        if let Some((job, victims)) = victims {
-            self.preempt(job, victims);
-        }
         if let Some(leader) = self.leader_mut() {
             leader.hiring.keep = wanted.keep;
+            let preempted = &mut leader.hiring.preempted;
+            preempted.retain(|_, until| now < *until);
+            preempted.extend(
+                in_vain
+                    .into_iter()
+                    .map(|id| (id, now + k::PREEMPT_AFTER_MS)),
+            );
+        }
+        if let Some((job, victims)) = victims {
+            self.preempt(job, victims);
         }
         for (offer, count) in wanted.rent {
             let term = self.leader().map_or(0, |l| l.term);
@@ -179,12 +187,19 @@
     }
 
     /// Whom to stop for the first waiting job that renting can't help: the cloud has refused what
-    /// it could use, and nothing expected has room for it.
-    fn preemption(&self, candidates: &[Candidate<'_>]) -> Option<(JobId, Vec<TaskId>)> {
+    /// it could use, and nothing expected has room for it. And for which jobs nobody was found:
+    /// a few in each pass, as each goes over all that runs.
+    fn preemption(
+        &self,
+        candidates: &[Candidate<'_>],
+    ) -> (Option<(JobId, Vec<TaskId>)>, Vec<JobId>) {
         let now = self.now;
-        let leader = self.leader()?;
+        let mut in_vain = Vec::new();
+        let Some(leader) = self.leader() else {
+            return (None, in_vain);
+        };
         if leader.hiring.refused_now(now).is_empty() {
-            return None;
+            return (None, in_vain);
         }
         let guaranteed = self.guaranteed();
         let all = Resources::default();
@@ -198,7 +213,7 @@
                 .hiring
                 .preempted
                 .get(c.id)
-                .is_some_and(|at| now < at + k::PREEMPT_MS);
+                .is_some_and(|until| now < *until);
             let fresh = now.saturating_sub(c.job.seen) < k::PREEMPT_AFTER_MS;
             let waiting = Waiting {
                 job: c.job,
@@ -215,21 +230,21 @@
             let real = leader.machines.with_room(all, Machine::takes_tasks);
             let victims = preempt::victims(c, most, &real, &running);
             if !victims.is_empty() {
-                return Some((c.id.clone(), victims));
+                return (Some((c.id.clone(), victims)), in_vain);
+            }
+            in_vain.push(c.id.clone());
+            if in_vain.len() >= k::PREEMPT_TRIES {
+                break;
             }
         }
-        None
+        (None, in_vain)
     }
 
     fn preempt(&mut self, id: JobId, victims: Vec<TaskId>) {
         let now = self.now;
         tracing::info!(job = %id, victims = victims.len(), "stopping tasks to make room");
         if let Some(leader) = self.leader_mut() {
-            leader
-                .hiring
-                .preempted
-                .retain(|_, at| now < *at + k::PREEMPT_MS);
-            leader.hiring.preempted.insert(id, now);
+            leader.hiring.preempted.insert(id, now + k::PREEMPT_MS);
         }
         for task in victims {
             self.stop_task(&task);
--- a/src/engine/records.rs
+++ b/src/engine/records.rs
@@ -7,7 +7,7 @@
 //! | `live/job/<id>` | submission, time, cancelled or not | any node; removed by the leader |
 //! | `final/<id>` | how the job ended | any node (cancelled), the leader (done) |
 //! | `work/<id>/<chunk>` | which tasks of an array are done | the leader |
-//! | `rounds/<number>` | the starts of a round; its undo is to stop each of them | the leader |
+//! | `rounds/<number>`, `rounds/<number>.<part>` | the starts of a round; its undo is to stop each of them | the leader |
 
 use crate::model::JobId;
 use crate::wire;
@@ -49,7 +49,7 @@
     pub term: u64,
 }
 
-/// The starts of one round. All have the round's number as their attempt. The undo list is
+/// The starts of one round, or a part of them. All have the round's number as their attempt. The undo list is
 /// implied: each start is undone by stopping that task's attempt on that machine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RoundRecord {
@@ -79,12 +79,18 @@
     Some((job.into(), chunk.parse().ok()?))
 }
 
-pub fn round_key(number: u64) -> String {
-    format!("{ROUNDS}{number:016x}")
+pub fn round_key(number: u64, part: u32) -> String {
+    match part {
+        0 => format!("{ROUNDS}{number:016x}"),
+        part => format!("{ROUNDS}{number:016x}.{part}"),
+    }
 }
 
+/// The round that a record, whole or part, belongs to.
 pub fn round_of_key(key: &str) -> Option<u64> {
-    u64::from_str_radix(key.strip_prefix(ROUNDS)?, 16).ok()
+    let name = key.strip_prefix(ROUNDS)?;
+    let number = name.split_once('.').map_or(name, |(number, _)| number);
+    u64::from_str_radix(number, 16).ok()
 }
 
 /// A record as a value of the state service.
@@ -130,7 +136,8 @@
             starts: vec![("run-7".into(), "host-1".into(), vec![0, 1])],
         };
         assert_eq!(read::<RoundRecord>(value(&round)).unwrap(), round);
-        assert_eq!(round_of_key(&round_key(1 << 40)), Some(1 << 40));
+        assert_eq!(round_of_key(&round_key(1 << 40, 0)), Some(1 << 40));
+        assert_eq!(round_of_key(&round_key(1 << 40, 3)), Some(1 << 40));
         assert_eq!(work_of_key("work/run-7/2"), Some(("run-7".into(), 2)));
         assert!(read::<RoundRecord>(Value::from("x")).is_none());
     }
--- a/src/engine/recovery.rs
+++ b/src/engine/recovery.rs
@@ -122,7 +122,9 @@
                 Machine::new(id, "".into(), "".into(), false, now)
             });
         }
-        leader.rounds.open.insert(number, starts);
+        let round = leader.rounds.open.entry(number).or_default();
+        round.starts.extend(starts);
+        round.keys.push(key.to_owned());
         Some(())
     }
 
--- a/src/engine/rounds.rs
+++ b/src/engine/rounds.rs
@@ -10,12 +10,18 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-pub(super) type Starts = Vec<(JobId, MachineId, Vec<u32>)>;
+/// A round on record.
+#[derive(Debug, Default)]
+pub(super) struct Round {
+    pub starts: Vec<(JobId, MachineId, Vec<u32>)>,
+    /// Its records, written and read as one.
+    pub keys: Vec<String>,
+}
 
 #[derive(Debug, Default)]
 pub(super) struct Rounds {
     /// Records in the state service, by number.
-    pub open: BTreeMap<u64, Starts>,
+    pub open: BTreeMap<u64, Round>,
     /// The round being written, repeated until its outcome is known.
     writing: Option<Writing>,
     count: u64,
@@ -25,7 +31,7 @@
 #[derive(Debug)]
 struct Writing {
     number: u64,
-    starts: Starts,
+    round: Round,
     txn: Txn,
     retry: super::Retry,
 }
@@ -69,15 +75,20 @@
         let Some(leader) = self.leader() else {
             return Plan::default();
         };
-        let bounds = Bounds {
-            starts: k::ROUND_STARTS.min(self.settings.value_max() / k::START_BYTES),
-            // Besides its jobs, a round's conditions name the leader's key and its own.
-            jobs: 4 * self.settings.cluster.state.txn_ops - 2,
-        };
+        let (ops, record) = (self.settings.cluster.state.txn_ops, self.record_starts());
+        let starts = k::ROUND_STARTS.min(ops * record);
+        // Besides its jobs, a round's conditions name the leader's key and its own.
+        let jobs = 4 * ops - 1 - starts.div_ceil(record);
+        let bounds = Bounds { starts, jobs };
         let mut slots = leader.machines.ready();
         placement::plan(&self.candidates(), &mut slots, &mut self.teams(), bounds)
     }
 
+    /// Starts that one record holds. A round may need several: a gang's must all be in one.
+    fn record_starts(&self) -> usize {
+        self.settings.value_max() / k::START_BYTES
+    }
+
     /// What teams use, counting every task that may be on a machine.
     pub(super) fn teams(&self) -> Teams {
         let mut teams = Teams::default();
@@ -164,7 +175,7 @@
         if starts.is_empty() {
             return;
         }
-        let now = self.now;
+        let (now, record_starts) = (self.now, self.record_starts());
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
@@ -173,9 +184,28 @@
         if leader.rounds.count >> k::ROUND_BITS != 0 {
             return self.step_down("a new term is needed for more rounds");
         }
-        let mut grouped: BTreeMap<(JobId, MachineId), Vec<u32>> = BTreeMap::new();
-        let key = records::round_key(number);
-        let mut txn = Txn::default().when(LEAD, leader.version).when(&key, 0);
+        let mut round = Round::default();
+        let mut txn = Txn::default().when(LEAD, leader.version);
+        for (part, starts) in (0..).zip(starts.chunks(record_starts)) {
+            let mut grouped: BTreeMap<(&JobId, &MachineId), Vec<u32>> = BTreeMap::new();
+            for start in starts {
+                let of_job = grouped.entry((&start.job, &start.machine)).or_default();
+                of_job.push(start.index);
+            }
+            let starts = |(&(job, machine), tasks): (&(&JobId, &MachineId), &Vec<u32>)| {
+                (job.to_string(), machine.to_string(), tasks.clone())
+            };
+            let record = RoundRecord {
+                starts: grouped.iter().map(starts).collect(),
+            };
+            let grouped = grouped.into_iter();
+            let grouped = grouped.map(|((j, m), tasks)| (j.clone(), m.clone(), tasks));
+            round.starts.extend(grouped);
+            let key = records::round_key(number, part);
+            txn = txn.when(&key, 0).put(&key, records::value(&record));
+            round.keys.push(key);
+        }
+        let mut jobs = BTreeSet::new();
         for start in starts {
             let Some(job) = self.jobs.get_mut(&start.job) else {
                 continue;
@@ -195,31 +225,18 @@
                     index: start.index,
                 });
             }
-            let job_key = records::job_key(&start.job.0);
             // A cancellation that is durable before the round is makes the round fail.
-            if !txn.conditions.iter().any(|c| c.key == job_key) {
-                txn = txn.when(job_key, job.version);
+            if jobs.insert(start.job.clone()) {
+                txn = txn.when(records::job_key(&start.job.0), job.version);
             }
-            grouped
-                .entry((start.job, start.machine))
-                .or_default()
-                .push(start.index);
         }
-        let starts: Starts = grouped.into_iter().map(|((j, m), t)| (j, m, t)).collect();
-        let record = RoundRecord {
-            starts: starts
-                .iter()
-                .map(|(j, m, t)| (j.to_string(), m.to_string(), t.clone()))
-                .collect(),
-        };
-        txn = txn.put(key, records::value(&record));
         let retry = super::Retry {
             busy: true,
             ..Default::default()
         };
         leader.rounds.writing = Some(Writing {
             number,
-            starts,
+            round,
             txn: txn.clone(),
             retry,
         });
@@ -234,14 +251,14 @@
         let Some(writing) = &mut leader.rounds.writing else {
             return;
         };
-        let key = records::round_key(writing.number);
+        let ours = |failed: &[String]| writing.round.keys.iter().any(|key| failed.contains(key));
         match result {
             Ok(StoreReply::Committed { .. }) => self.start_round(),
             Err(StoreError::Conflict(failed)) if failed.iter().any(|f| f == LEAD) => {
                 self.step_down("a commit found another leader");
             }
             // An earlier copy of this very transaction went through.
-            Err(StoreError::Conflict(failed)) if failed.contains(&key) => self.start_round(),
+            Err(StoreError::Conflict(failed)) if ours(&failed) => self.start_round(),
             Err(StoreError::Conflict(failed)) => {
                 tracing::debug!(?failed, "round given up: its jobs have changed");
                 self.drop_round();
@@ -264,7 +281,7 @@
             return;
         };
         leader.dirty = true;
-        for (job, machine, tasks) in &writing.starts {
+        for (job, machine, tasks) in &writing.round.starts {
             tracing::debug!(%job, %machine, ?tasks, number = writing.number, "starts written");
             let Some(job) = self.jobs.get_mut(job) else {
                 continue;
@@ -285,12 +302,12 @@
         }
         tracing::debug!(
             number = writing.number,
-            starts = writing.starts.len(),
+            starts = writing.round.starts.len(),
             "round written"
         );
-        let machines: BTreeSet<MachineId> =
-            writing.starts.iter().map(|(_, m, _)| m.clone()).collect();
-        leader.rounds.open.insert(writing.number, writing.starts);
+        let machines = writing.round.starts.iter().map(|(_, m, _)| m.clone());
+        let machines: BTreeSet<MachineId> = machines.collect();
+        leader.rounds.open.insert(writing.number, writing.round);
         for machine in machines {
             self.ring(&machine);
         }
@@ -304,7 +321,7 @@
         let Some(writing) = leader.rounds.writing.take() else {
             return;
         };
-        for (job, _, tasks) in writing.starts {
+        for (job, _, tasks) in writing.round.starts {
             for index in tasks {
                 let task = TaskId {
                     job: job.clone(),
@@ -338,8 +355,8 @@
             .rounds
             .open
             .iter()
-            .filter(|(number, starts)| {
-                !starts.iter().any(|(job, _, tasks)| {
+            .filter(|(number, round)| {
+                !round.starts.iter().any(|(job, _, tasks)| {
                     jobs.get(job).is_some_and(|job| {
                         tasks.iter().any(|index| {
                             job.live.get(index).is_some_and(|p| p.attempt == **number)
@@ -351,8 +368,10 @@
             .map(|(number, _)| *number)
             .collect();
         for number in over {
-            leader.rounds.open.remove(&number);
-            leader.ends.remove(records::round_key(number));
+            let round = leader.rounds.open.remove(&number);
+            for key in round.into_iter().flat_map(|round| round.keys) {
+                leader.ends.remove(key);
+            }
         }
         // A job that had to wait after a failure becomes due by time alone, with no event.
         let waiting = self
--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -657,3 +657,42 @@
     }
     assert_eq!(world.broken, Vec::<String>::new());
 }
+
+/// The jobs of a pass were once cut to as many as a round may name: behind that many for which
+/// there was no room, nothing was placed.
+#[test]
+fn a_head_of_jobs_without_room_stops_nobody_behind_it() {
+    let mut world = World::new(3, 400.0);
+    world.faults.capacity = Some(1);
+    world.run(2_000);
+    for n in 0..130 {
+        let mut gang = quick(&format!("run-1{n}"), Kind::Gang, 16);
+        (gang.gpus, gang.priority) = (4.0, Priority::High);
+        world.submit(gang);
+    }
+    let mut low = quick("run-2", Kind::Array, 4);
+    low.priority = Priority::Low;
+    world.submit(low);
+    ends_well(&mut world, "run-2", 60_000);
+}
+
+/// A gang that needs more starts than one record holds was once accepted and never placed.
+#[test]
+fn the_starts_of_a_large_gang_are_written_in_several_records_as_one() {
+    for lose_every in [0, 2] {
+        let mut world = World::new(3, 400.0);
+        let mut gang = quick("run-1", Kind::Gang, 300);
+        gang.estimate_s = 60.0;
+        world.run(2_000);
+        world.submit(gang);
+        world.faults.lose_every = lose_every;
+        assert!(world.run_until(60_000, |w| w.keys("rounds/") > 2));
+        assert_eq!(world.term(), 1);
+        let leader = world.leader().unwrap();
+        world.crash(leader);
+        ends_well(&mut world, "run-1", 180_000);
+        assert_eq!(world.starts, 300);
+        world.faults.lose_every = 0;
+        assert!(world.run_until(10_000, |w| w.keys("rounds/") == 0));
+    }
+}
