The limit on sockets is read from where the platform writes it; callers may outnumber sockets

Cause: max_connections stands in [cluster.machine_limits]; it was looked for outside of it, so every node took the default of 1,000 and accepted no more than 856 connections of 1,290 workers.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -156,8 +156,8 @@
 pub const START_BYTES: usize = 64;
 /// Sockets a machine allows if the settings do not say: a common limit of open files.
 pub const DEFAULT_CONNECTIONS: usize = 1000;
-/// Connections accepted on `front` however small the machine: workers and probes need some.
-pub const FRONT_CONNECTIONS_MIN: usize = 64;
+/// Sockets without which a node can't work: users, probes, workers and its own calls need some.
+pub const CONNECTIONS_MIN: usize = 64;
 /// One in so many of them is kept for requests under way, so that users, probes and workers
 /// without an open connection find one: an answer takes some ms, at most [`HOLD_REPORT_MS`].
 pub const SPARE_CONNECTIONS: usize = 8;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -149,10 +149,13 @@
     pub workers: Workers,
     pub state: State,
     pub cloud: Cloud,
+    #[serde(default)]
+    pub machine_limits: MachineLimits,
 }
 
 /// What this node's machine allows.
 #[derive(Debug, Clone, Deserialize)]
+#[serde(default)]
 pub struct MachineLimits {
     pub max_connections: usize,
 }
@@ -177,8 +180,6 @@
     pub peers: Vec<Peer>,
     pub services: Services,
     pub cluster: Cluster,
-    #[serde(default)]
-    pub machine_limits: MachineLimits,
     #[serde(skip)]
     pub operator: Operator,
 }
@@ -248,6 +249,10 @@
                 "expected a number from 0 to 1e6",
             );
         }
+        if self.cluster.machine_limits.max_connections < k::CONNECTIONS_MIN {
+            let allowed = format!("expected at least {}", k::CONNECTIONS_MIN);
+            return fail("cluster.machine_limits.max_connections", &allowed);
+        }
         for team in &self.cluster.teams {
             for (name, amount) in [
                 ("cpus", team.cpus),
@@ -285,13 +290,11 @@
         Timing::new(&self.cluster.workers)
     }
 
-    /// Connections accepted on `front` at once: what the machine allows, less our own.
+    /// Connections accepted on `front` at once: what the machine allows, less our own, which
+    /// few callers do not use up.
     pub fn front_connections(&self) -> usize {
-        let ours = k::USER_CALLS + k::WORKER_CALLS + k::PEER_CONNECTIONS + 4 * k::POOL_IDLE;
-        self.machine_limits
-            .max_connections
-            .saturating_sub(ours)
-            .max(k::FRONT_CONNECTIONS_MIN)
+        let most = self.cluster.machine_limits.max_connections;
+        most.saturating_sub(OWN_CONNECTIONS).max(most / 2)
     }
 
     /// Largest record this service writes, in bytes of its JSON form.
@@ -300,6 +303,10 @@
     }
 }
 
+/// Sockets that a node uses at most beside those of `front`.
+const OWN_CONNECTIONS: usize =
+    k::USER_CALLS + k::WORKER_CALLS + k::PEER_CONNECTIONS + 4 * k::POOL_IDLE;
+
 /// Durations that follow from the settings, ms.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Timing {
@@ -389,6 +396,10 @@
 [cluster.cloud]
 rps = 2.0
 list_lag_s = 10.0
+[cluster.machine_limits]
+cpu_share = 0.12
+mem_mb = 98.0
+max_connections = 1817
 "#;
 
     #[test]
@@ -417,6 +428,23 @@
         );
     }
 
+    /// The limit on sockets was once looked for in another table, and every node took 1,000.
+    #[test]
+    fn connections_follow_from_the_machine() {
+        let front = |text: &str| Settings::parse(text, "s.toml").unwrap().front_connections();
+        assert_eq!(front(SAMPLE), 1817 - OWN_CONNECTIONS);
+        let larger = SAMPLE.replace("= 1817", "= 12000");
+        assert_eq!(front(&larger), 12_000 - OWN_CONNECTIONS);
+        let (without, _) = SAMPLE.split_once("[cluster.machine_limits]").unwrap();
+        assert_eq!(front(without), k::DEFAULT_CONNECTIONS - OWN_CONNECTIONS);
+        let smaller = SAMPLE.replace("= 1817", "= 200");
+        assert_eq!(front(&smaller), 100);
+        let bad = SAMPLE.replace("= 1817", "= 10");
+        let text = Settings::parse(&bad, "s.toml").unwrap_err().to_string();
+        assert!(text.contains("machine_limits.max_connections"), "{text}");
+        assert!(text.contains("at least"), "{text}");
+    }
+
     /// The inequality behind `ran_cancelled`: a node that has not heard of a cancellation stops
     /// answering within the grace, and the worker's lease ends before `cancel_s`.
     #[test]
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -43,6 +43,9 @@
 
 type Shared = State<Arc<Standin>>;
 
+/// That a node's machine allows; half of them are for `front`.
+const SOCKETS: usize = 300;
+
 fn map(fields: Vec<(&str, Value)>) -> Vec<u8> {
     let fields = fields
         .into_iter()
@@ -275,6 +278,8 @@
 [cluster.cloud]
 rps = 100.0
 list_lag_s = 1.0
+[cluster.machine_limits]
+max_connections = {SOCKETS}
 "#
     );
     let node = Node::bind(Settings::parse(&text, "test").unwrap())
@@ -521,3 +526,39 @@
     }
     assert_eq!(waiting, Vec::<String>::new());
 }
+
+/// A connection whose request is answered and that is left open, as a worker's is.
+async fn ask(front: SocketAddr) -> (tokio::net::TcpStream, String) {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut stream = tokio::net::TcpStream::connect(front).await.unwrap();
+    let request = "GET /ready HTTP/1.1\r\nhost: n0\r\n\r\n";
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = vec![0; 1024];
+    let read = stream.read(&mut answer).await.unwrap();
+    answer.truncate(read);
+    (stream, String::from_utf8_lossy(&answer).to_lowercase())
+}
+
+/// More callers than sockets, each of which leaves its connection open: the leader of a fleet
+/// once had no socket left for new machines, users and probes.
+#[tokio::test]
+async fn a_node_whose_callers_outnumber_its_sockets_answers_all() {
+    let (client, _standin) = node().await;
+    let mut open = Vec::new();
+    let mut told_to_leave = 0;
+    for n in 0..2 * SOCKETS {
+        let asked = tokio::time::timeout(Duration::from_secs(20), ask(client.front));
+        let (stream, answer) = asked.await.unwrap_or_else(|_| panic!("caller {n} waits"));
+        assert!(answer.starts_with("http/1.1 200"), "caller {n}: {answer}");
+        told_to_leave += usize::from(answer.contains("connection: close"));
+        open.push(stream);
+    }
+    let stay = open.len() - told_to_leave;
+    let front = SOCKETS / 2;
+    assert!(stay > front / 2 && stay < front, "{stay} stay connected");
+    // Users and workers as well.
+    let status = client
+        .status(Method::POST, "/submissions", Some(submission(|_| {})))
+        .await;
+    assert_eq!(status, 201);
+}
