--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -9,7 +9,7 @@
 use crate::constants::UNPLACED_MOST;
 use crate::model::{Job, JobId, MachineId, Resources, Spec};
 use crate::settings::Limit;
-use crate::wire::user::{Kind, Priority};
+use crate::wire::user::Kind;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::Arc;
@@ -412,8 +412,7 @@
     let rank = |slot: &Slot| {
         let full = (slot.size - slot.room + spec.need).share_of(slot.size);
         // Ordinary machines are kept for jobs that may use no others.
-        let there = slot.images.contains(&spec.image);
-        let dear = spec.spot && !slot.spot && !(there && spec.priority >= Priority::High);
+        let dear = spec.spot && !slot.spot;
         // What stays for long stands together, or it keeps many machines half empty when the
         // work that ends has gone.
         let stays = slot.settled != Resources::default();
