--- a/src/engine/leadership.rs
+++ b/src/engine/leadership.rs
@@ -69,20 +69,22 @@
     /// Whether this node may still answer reports, which renews workers' leases. Bounded, so
     /// that a cancellation it has not heard of still ends in time: see the timing's grace.
     pub(super) fn may_answer(&self) -> bool {
-        let grace = self.grace();
-        self.leader().is_some_and(|l| self.now < l.renewed + grace) && self.knows_cancellations()
+        let grace = self.leaders_grace();
+        self.leader().is_some_and(|l| self.now < l.renewed + grace)
+            && self.knows_cancellations(grace)
     }
 
     /// Whether it has heard of all cancellations within the grace.
-    fn knows_cancellations(&self) -> bool {
-        let grace = self.grace();
+    fn knows_cancellations(&self, grace: Ms) -> bool {
         self.fresh_at.is_some_and(|at| self.now < at + grace)
     }
 
-    /// For how long after its last news this node still answers reports. A node that hears no
-    /// peer either has more likely lost its own connections than lived through an outage: its
-    /// successor is at work by then and waits for the workers, so it lets them go sooner.
-    fn grace(&self) -> Ms {
+    /// For how long after its last news a leader still answers reports. One that hears no peer
+    /// either has more likely lost its own connections than lived through an outage: its
+    /// successor is at work by then and waits for the workers, so it lets them go sooner. (A
+    /// deputy sends its workers on now and then and need not: in a zone that is cut off, what
+    /// they run would end for nothing.)
+    fn leaders_grace(&self) -> Ms {
         match self.is_alone() {
             true => self.timing.grace / 2,
             false => self.timing.grace,
@@ -98,7 +100,8 @@
             .holder
             .as_ref()
             .filter(|h| h.node != self.settings.node)?;
-        (self.knows_cancellations() && !self.hears(&holder.node)).then_some(holder)
+        let knows = self.knows_cancellations(self.timing.grace);
+        (knows && !self.hears(&holder.node)).then_some(holder)
     }
 
     pub(super) fn lead_when_due(&mut self) {
--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -213,13 +213,7 @@
     other.zone = Some("west".into());
     let mut world = world_with(vec![one, other]);
     assert!(world.run_until(60_000, |w| w.running("run-1") + w.running("run-2") == 2));
-    while world.leader() == Some(1) {
-        world.crash(1);
-        world.run(10_000);
-        world.start(1);
-        world.run(3_000);
-    }
-    world.run(10_000);
+    lead_from_the_east(&mut world);
     world.faults.zones_cut = true;
     world.run(15_000);
     world.cancel("run-2");
@@ -241,6 +235,37 @@
     assert_eq!(world.broken, Vec::<String>::new());
 }
 
+/// Until node 1, the only one in the west, does not lead.
+fn lead_from_the_east(world: &mut World) {
+    while world.leader() == Some(1) {
+        world.crash(1);
+        world.run(10_000);
+        world.start(1);
+        world.run(3_000);
+    }
+    world.run(10_000);
+}
+
+/// Cut off from the state service as well, the node of the zone once let its workers go after half
+/// of the time that it may keep them.
+#[test]
+fn a_zone_cut_off_from_everything_keeps_its_work_for_the_whole_grace() {
+    let mut service = quick("run-1", Kind::Service, 3);
+    service.zone = Some("west".into());
+    let mut world = world_with(vec![service]);
+    assert!(world.run_until(60_000, |w| w.running("run-1") == 3));
+    lead_from_the_east(&mut world);
+    world.faults.zones_cut = true;
+    world.faults.store_refuses.insert(1);
+    world.run(30_000);
+    assert_eq!(world.running("run-1"), 3, "{}", world.describe());
+    world.faults = Default::default();
+    world.run(20_000);
+    assert_eq!((world.running("run-1"), world.starts), (3, 3));
+    assert_eq!(world.returned, Vec::<String>::new());
+    assert_eq!(world.broken, Vec::<String>::new());
+}
+
 #[test]
 fn a_leader_that_has_lost_the_workers_hands_over() {
     let mut world = world_of_two_services();
