--- a/src/cloud/mod.rs
+++ b/src/cloud/mod.rs
@@ -49,16 +49,24 @@
         CloudClient {
             http,
             addr: settings.services.cloud,
-            calls: Mutex::new(TokenBucket::new(settings.cluster.cloud.rps)),
+            calls: Mutex::new(TokenBucket::new(
+                settings.cluster.cloud.rps,
+                k::CLOUD_BURST_S,
+            )),
             started: Instant::now(),
         }
     }
 
     pub async fn call(&self, call: &CloudCall) -> Result<CloudReply, CloudError> {
+        // A return proves tasks gone that have to run elsewhere: it finds a token first.
+        let reserve = match call {
+            CloudCall::Return(_) => 0.0,
+            _ => k::RATE_RESERVE,
+        };
         loop {
             let wait = {
                 let mut bucket = self.calls.lock().unwrap_or_else(|e| e.into_inner());
-                bucket.take(1.0, 0.0, self.started.elapsed())
+                bucket.take(1.0, reserve, self.started.elapsed())
             };
             match wait {
                 None => break,
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -88,7 +88,10 @@
 /// Share of the state service's published rates that one node allows itself: the leader does
 /// most of the work, and three nodes share the limits.
 pub const RATE_SHARE: f64 = 0.6;
-/// Share kept back for lease renewals and leader's work when users flood a node.
+/// Seconds' worth of calls that the cloud takes at once, by the protocol.
+pub const CLOUD_BURST_S: f64 = 2.0;
+/// Share kept back for lease renewals and leader's work when users flood a node, and for returns
+/// among the calls to the cloud.
 pub const RATE_RESERVE: f64 = 0.25;
 
 /// How long a worker waits for the answer to its report, ms, by the protocol.
@@ -146,6 +149,9 @@
 pub const ENDS_EVERY_MS: u64 = 500;
 /// Between two passes over open rounds and over the fleet, ms.
 pub const UPKEEP_EVERY_MS: u64 = 1000;
+/// Between two passes that rent, while more is wanted than one pass has asked for, ms: the calls
+/// are what limits it.
+pub const RENT_EVERY_MS: u64 = 200;
 /// Bits of a worker's token below the leader's term: raised at most twice a worker's lease, they
 /// last a leader for longer than any process runs.
 pub const TOKEN_BITS: u32 = 20;
--- a/src/engine/hiring.rs
+++ b/src/engine/hiring.rs
@@ -65,8 +65,13 @@
 
 impl Engine {
     pub(super) fn set_demand(&mut self, unplaced: Vec<Unplaced>) {
-        if let Some(leader) = self.leader_mut() {
-            leader.hiring.demand = unplaced;
+        let now = self.now;
+        if let Some(hiring) = self.leader_mut().map(|l| &mut l.hiring) {
+            // The first that wait don't wait for the next pass as well.
+            if hiring.demand.is_empty() && !unplaced.is_empty() {
+                hiring.hire_at = now;
+            }
+            hiring.demand = unplaced;
         }
     }
 
@@ -110,14 +115,20 @@
         if let Some((job, victims)) = victims {
             self.preempt(job, victims);
         }
-        for (offer, count) in wanted.rent {
+        // As many calls as the cloud takes in a second; what is left is asked for after them.
+        let most = (self.settings.cluster.cloud.rps as usize).max(1);
+        let calls = calls(wanted.rent);
+        let more = calls.len() > most;
+        for (offer, count) in calls.into_iter().take(most) {
             let term = self.leader().map_or(0, |l| l.term);
             let Some(hiring) = self.leader_mut().map(|l| &mut l.hiring) else {
                 return;
             };
             hiring.requests += 1;
             hiring.renting += 1;
-            let count = count.min(k::RENT_MOST);
+            if more {
+                hiring.hire_at = now + k::RENT_EVERY_MS;
+            }
             tracing::info!(
                 machine_type = %offer.machine_type, zone = %offer.zone, spot = offer.spot, count, "renting"
             );
@@ -517,6 +528,21 @@
     }
 }
 
+/// One call for each offer, then the second for each that wants more than one call may rent.
+fn calls(rent: BTreeMap<Offer, u64>) -> Vec<(Offer, u64)> {
+    let mut calls = Vec::new();
+    let mut left: Vec<(Offer, u64)> = rent.into_iter().collect();
+    while !left.is_empty() {
+        for (offer, count) in &mut left {
+            let now = k::RENT_MOST.min(*count);
+            *count -= now;
+            calls.push((offer.clone(), now));
+        }
+        left.retain(|(_, count)| *count > 0);
+    }
+    calls
+}
+
 /// What decides whether a machine is returned.
 struct Look {
     now: Ms,
--- a/src/engine/watching.rs
+++ b/src/engine/watching.rs
@@ -16,10 +16,15 @@
         self.watch.busy = true;
         match self.revision {
             Some(after) => {
+                // Without fresh news what counts is the first answer, changes or none.
+                let wait_ms = match self.store_ok() {
+                    true => k::WATCH_MS,
+                    false => 0,
+                };
                 let call = StoreCall::Watch {
                     prefix: LIVE.into(),
                     after,
-                    wait_ms: k::WATCH_MS,
+                    wait_ms,
                 };
                 self.store(Op::Watch { sent: self.now }, call);
             }
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -24,7 +24,7 @@
 impl StoreClient {
     pub fn new(http: HttpClient, settings: &Settings) -> Self {
         let state = &settings.cluster.state;
-        let bucket = |rate: f64| Mutex::new(TokenBucket::new(rate * k::RATE_SHARE));
+        let bucket = |rate: f64| Mutex::new(TokenBucket::new(rate * k::RATE_SHARE, 1.0));
         StoreClient {
             http,
             addr: settings.services.state,
--- a/src/tokens.rs
+++ b/src/tokens.rs
@@ -2,18 +2,22 @@
 
 use std::time::Duration;
 
-/// Refills at `rate` tokens a second and holds one second's worth.
+/// Refills at `rate` tokens a second up to `full`; begins with one second's worth, since a
+/// predecessor may just have used up the rest.
 #[derive(Debug)]
 pub struct TokenBucket {
     rate: f64,
+    full: f64,
     tokens: f64,
     filled: Duration,
 }
 
 impl TokenBucket {
-    pub fn new(rate: f64) -> Self {
+    /// Holds as many seconds' worth as the limited service allows at once.
+    pub fn new(rate: f64, seconds: f64) -> Self {
         TokenBucket {
             rate,
+            full: (rate * seconds).max(1.0),
             tokens: rate,
             filled: Duration::ZERO,
         }
@@ -22,15 +26,14 @@
     fn refill(&mut self, now: Duration) {
         let passed = now.saturating_sub(self.filled).as_secs_f64();
         self.filled = self.filled.max(now);
-        self.tokens = (self.tokens + passed * self.rate).min(self.rate.max(1.0));
+        self.tokens = (self.tokens + passed * self.rate).min(self.full);
     }
 
     /// Takes `amount`, leaving at least the share `reserve` of a full bucket; otherwise says
     /// how long to wait. Nobody waits for more than a full bucket holds.
     pub fn take(&mut self, amount: f64, reserve: f64, now: Duration) -> Option<Duration> {
         self.refill(now);
-        let full = self.rate.max(1.0);
-        let need = (amount + reserve * full).min(full);
+        let need = (amount + reserve * self.full).min(self.full);
         if self.tokens >= need {
             self.tokens -= amount;
             None
@@ -54,7 +57,7 @@
     #[test]
     fn users_leave_a_reserve_and_leases_never_wait() {
         let at = Duration::from_secs;
-        let mut bucket = TokenBucket::new(10.0);
+        let mut bucket = TokenBucket::new(10.0, 1.0);
         for _ in 0..7 {
             assert_eq!(bucket.take(1.0, 0.25, at(0)), None);
         }
