--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -51,25 +51,21 @@
         let mut expected = Vec::new();
         for (class, specs) in classes {
             let Some(boot_ms) = specs.iter().find_map(|spec| {
-                let (boot_ms, image_ms) = quickest(spec, types)?;
-                starts_late(class, boot_ms + image_ms, objectives).then_some(boot_ms)
+                let boot_ms = quickest(spec, types)?;
+                starts_late(class, boot_ms, objectives).then_some(boot_ms)
             }) else {
                 continue;
             };
-            // What arrives while a machine boots, which takes up to half as long again; and as
-            // much more as the number of arrivals is off by, which matters less the more they are.
             let lead_ms = boot_ms + boot_ms / 2;
-            let mean = (specs.len() as u64 * lead_ms) as f64 / window as f64;
-            let count = (mean + mean.sqrt()).ceil() as usize;
-            expected.extend(specs.into_iter().take(count).cloned());
+            let count = (specs.len() as u64 * lead_ms).div_ceil(window);
+            expected.extend(specs.into_iter().take(count as usize).cloned());
         }
         expected
     }
 }
 
-/// The shortest nominal time from renting a machine to having the job's image on it: until it is
-/// up, and from then on.
-fn quickest(spec: &Spec, types: &Types) -> Option<(u64, u64)> {
+/// The shortest nominal time from renting a machine to having the job's image on it.
+fn quickest(spec: &Spec, types: &Types) -> Option<u64> {
     types
         .values()
         .filter(|t| spec.need.fits_in(t.size))
@@ -78,11 +74,8 @@
                 .as_ref()
                 .is_none_or(|names| names.contains(&t.name))
         })
-        .map(|t| {
-            let image_s = spec.image_gb / t.fetch_gb_per_s.max(1e-3);
-            (t.boot_ms, (image_s * 1000.0) as u64)
-        })
-        .min_by_key(|(boot_ms, image_ms)| boot_ms + image_ms)
+        .map(|t| t.boot_ms + (spec.image_gb / t.fetch_gb_per_s.max(1e-3) * 1000.0) as u64)
+        .min()
 }
 
 /// Whether a job that starts only after `start_ms` misses its class's aim for waiting.
