--- a/src/engine/machines.rs
+++ b/src/engine/machines.rs
@@ -6,7 +6,7 @@
 //! every machine at each pass, it took most of a leader's processor at 1,300 machines.)
 
 use super::Engine;
-use crate::model::{Machine, MachineId, Resources, Stage, TaskId, Types};
+use crate::model::{Machine, MachineId, Ms, Resources, Stage, TaskId, Types};
 use crate::placement::Slot;
 use crate::wire::user::Kind;
 use crate::wire::worker::TaskState;
@@ -27,6 +27,7 @@
 /// A machine as placing sees it.
 #[derive(Debug, PartialEq)]
 struct Seen {
+    at: Ms,
     slot: Slot,
     /// Takes tasks, and no start on it is unreported: such a machine is locked by its round.
     ready: bool,
@@ -97,7 +98,7 @@
         let seen: Vec<(MachineId, Option<Seen>)> = touched
             .into_iter()
             .map(|id| {
-                let seen = self.see(&id);
+                let seen = self.see(&id, self.now);
                 (id, seen)
             })
             .collect();
@@ -112,12 +113,12 @@
         }
     }
 
-    /// The machine as placing sees it; `None` while its type is not known.
-    fn see(&self, id: &MachineId) -> Option<Seen> {
+    /// The machine as placing sees it at that time; `None` while its type is not known.
+    fn see(&self, id: &MachineId, at: Ms) -> Option<Seen> {
         let machine = self.leader()?.machines.get(id)?;
         let kind = self.machine_type(&machine.machine_type)?;
         let (mut used, mut settled) = (Resources::default(), Resources::default());
-        let mut fetching: Vec<(Arc<str>, f64)> = Vec::new();
+        let mut fetching: Vec<(Arc<str>, f64, Ms)> = Vec::new();
         let mut locked = false;
         for TaskId { job, index } in &machine.tasks {
             let Some(job) = self.jobs.get(job) else {
@@ -127,17 +128,33 @@
             if job.spec.kind == Kind::Service {
                 settled += job.spec.need;
             }
-            let stage = job.live.get(index).map(|p| p.stage);
+            let placement = job.live.get(index);
+            let stage = placement.map(|p| p.stage);
             locked |= stage.is_some_and(|stage| !matches!(stage, Stage::Up(_)));
             let image = &job.spec.image;
             let ready = machine.has_image(image)
                 || matches!(stage, Some(Stage::Up(s)) if s != TaskState::Fetching);
-            if !ready && !fetching.iter().any(|(name, _)| name == image) {
-                fetching.push((image.clone(), job.spec.image_gb));
+            if ready {
+                continue;
+            }
+            let begun = placement
+                .filter(|p| matches!(p.stage, Stage::Up(_)))
+                .map_or(at, |p| p.since);
+            match fetching.iter_mut().find(|(name, ..)| name == image) {
+                Some((_, _, first)) => *first = begun.min(*first),
+                None => fetching.push((image.clone(), job.spec.image_gb, begun)),
             }
         }
+        // What is left to fetch, if all share the machine's rate.
+        let share = kind.fetch_gb_per_s / fetching.len().max(1) as f64;
+        let left = |(image, gb, begun): (Arc<str>, f64, Ms)| {
+            let done = at.saturating_sub(begun) as f64 / 1000.0 * share;
+            (image, (gb - done).max(0.0))
+        };
+        let fetching = fetching.into_iter().map(left).collect();
         let images = machine.images.iter();
         Some(Seen {
+            at,
             ready: machine.takes_tasks() && !locked,
             slot: Slot {
                 id: machine.id.clone(),
@@ -160,7 +177,10 @@
         self.leader().is_none_or(|leader| {
             let untouched = |id: &&MachineId| !leader.machines.touched.contains(id);
             let mut ids = leader.machines.all.keys().filter(untouched);
-            ids.all(|id| leader.machines.slots.get(id) == self.see(id).as_ref())
+            ids.all(|id| match leader.machines.slots.get(id) {
+                Some(seen) => self.see(id, seen.at).as_ref() == Some(seen),
+                None => self.see(id, self.now).is_none(),
+            })
         })
     }
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -27,7 +27,7 @@
     pub settled: Resources,
     /// Images that it has.
     pub images: Vec<Arc<str>>,
-    /// Images that it is fetching, or will with the starts it was given, and their GB.
+    /// Images that it is fetching, or will with the starts it was given, and what GB are left.
     pub fetching: Vec<(Arc<str>, f64)>,
     /// GB that it fetches in the time in which another machine of its type boots.
     pub boot_gb: f64,
