--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -58,7 +58,14 @@
             };
             let lead_ms = boot_ms + boot_ms / 2;
             let count = (specs.len() as u64 * lead_ms).div_ceil(window);
-            expected.extend(specs.into_iter().take(count as usize).cloned());
+            // They will not all come at once, nor with these images: it is their room that counts.
+            // (With its image, each was to have a machine of its own to fetch on, and twice as
+            // many were rented in the first minutes as then had work.)
+            let room = |spec: &Spec| Spec {
+                image_gb: 0.0,
+                ..spec.clone()
+            };
+            expected.extend(specs.into_iter().take(count as usize).map(room));
         }
         expected
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -41,7 +41,8 @@
         if spec.kind == Kind::Service {
             self.settled += need;
         }
-        if !self.images.contains(&spec.image) && !self.fetches(&spec.image) {
+        let there = spec.image_gb <= 0.0 || self.images.contains(&spec.image);
+        if !there && !self.fetches(&spec.image) {
             self.fetching.push((spec.image.clone(), spec.image_gb));
         }
     }
@@ -407,7 +408,7 @@
         spec.need.fits_in(slot.room)
             && only.is_none_or(|zone| slot.zone == *zone)
             && allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
-            && slot.is_soon(&spec.image)
+            && (spec.image_gb <= 0.0 || slot.is_soon(&spec.image))
     };
     let rank = |slot: &Slot| {
         let full = (slot.size - slot.room + spec.need).share_of(slot.size);
