--- a/src/engine/hiring.rs
+++ b/src/engine/hiring.rs
@@ -361,11 +361,13 @@
                 Machine::new(id, "".into(), "".into(), listed.spot, now)
             });
             machine.vouched = true;
+            // Whether or not it has reported: a machine that had was taken for new at each
+            // take-over, and paid for another minute however idle.
+            machine.rented = machine.rented.min(now.saturating_sub(age));
             if machine.machine_type.is_empty() {
                 machine.machine_type = listed.machine_type.as_str().into();
                 machine.zone = listed.zone.as_str().into();
                 machine.spot = listed.spot;
-                machine.rented = now.saturating_sub(age);
             }
             if listed.state == MachineState::Failed && machine.phase != MachinePhase::Returning {
                 tracing::info!(machine = %machine.id, "machine has failed");
--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -722,3 +722,25 @@
         assert!(world.run_until(10_000, |w| w.keys("rounds/") == 0));
     }
 }
+
+/// A new leader once took machines that reported to it before it had a list for new ones, and kept
+/// each for the least time that the cloud charges.
+#[test]
+fn idle_machines_are_returned_soon_after_a_take_over() {
+    let mut world = world_with(vec![
+        quick("run-1", Kind::Array, 8),
+        quick("run-2", Kind::Service, 1),
+    ]);
+    ends_well(&mut world, "run-1", 60_000);
+    let leader = world.leader().unwrap();
+    world.crash(leader);
+    assert!(world.run_until(10_000, |w| w.leader().is_some_and(|l| l != leader)));
+    assert!(world.workers.len() > 1);
+    let soon = 30_000 + 10_000;
+    assert!(
+        world.run_until(soon, |w| w.workers.len() == 1),
+        "{}",
+        world.describe()
+    );
+    assert_eq!(world.running("run-2"), 1);
+}
