--- a/src/engine/hiring.rs
+++ b/src/engine/hiring.rs
@@ -311,7 +311,6 @@
                         )
                     });
                     machine.vouched = true;
-                    machine.ours = true;
                 }
             }
             Ok(_) => {}
@@ -379,7 +378,7 @@
     /// Looks over the machines: silent, never up, failing, about to be taken, idle.
     pub(super) fn keep_machines(&mut self) {
         let now = self.now;
-        let idle_ms = self.settings.operator.idle_ms();
+        let idle_ms = (self.settings.operator.idle_s * 1000.0) as u64;
         let silent_ms = self.timing.silent;
         let report_ms = self.timing.report;
         let types = self.types.clone();
--- a/src/engine/reports.rs
+++ b/src/engine/reports.rs
@@ -187,7 +187,6 @@
     /// that is gone.
     fn note_machine(&mut self, report: &Report, confirmed: bool) -> bool {
         let (now, on_time) = (self.now, self.timing.on_time);
-        let idle_ms = self.settings.operator.idle_ms();
         let tally = Tally {
             session: report.session,
             seq: report.seq,
@@ -226,13 +225,7 @@
         }
         if confirmed && machine.phase == MachinePhase::Booting {
             machine.phase = MachinePhase::Up;
-            // One that an earlier leader rented has been idle for a while if it is: by half of the
-            // patience, for want of better knowledge. (While all controllers were restarted one
-            // after the other, no machine ever was idle for long enough.)
-            machine.idle_since = match machine.ours {
-                true => now,
-                false => now - idle_ms / 2,
-            };
+            machine.idle_since = now;
             leader.dirty = true;
         }
         true
--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -29,11 +29,6 @@
 }
 
 impl Operator {
-    /// How long a machine may stand idle, ms.
-    pub fn idle_ms(&self) -> u64 {
-        (self.idle_s * 1000.0) as u64
-    }
-
     pub fn parse(text: &str, file: &str) -> Result<Operator, SettingsError> {
         let operator: Operator = serde_lexpr::from_str(text).map_err(|e| SettingsError::Parse {
             file: file.into(),
