--- a/src/constants.rs
+++ b/src/constants.rs
@@ -175,8 +175,9 @@
 /// in which a leader without news still answers reports must span a few renewals and watches.
 pub const CANCEL_SLACK_MIN_S: f64 = 3.0;
 /// Arrivals remembered, and the time over which their rate is taken, ms: long enough for a few
-/// of each class, short enough to follow a burst.
-pub const ARRIVALS_MOST: usize = 500;
+/// of each class, short enough to follow a burst. Of each some hundred bytes are kept; a burst at
+/// the largest site brings 600 in that time.
+pub const ARRIVALS_MOST: usize = 2000;
 pub const ARRIVALS_MS: u64 = 180_000;
 /// A job waits this long, ms, before others are stopped for it: room often comes up by itself.
 pub const PREEMPT_AFTER_MS: u64 = 3_000;
