--- a/src/engine/records.rs
+++ b/src/engine/records.rs
@@ -49,8 +49,8 @@
     pub term: u64,
 }
 
-/// The starts of one round, or a part of them. All have the round's number as their attempt. The undo list is
-/// implied: each start is undone by stopping that task's attempt on that machine.
+/// The starts of one round, or a part of them. All have the round's number as their attempt. The
+/// undo list is implied: each start is undone by stopping that task's attempt on that machine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RoundRecord {
     /// Job, machine, tasks.
--- a/src/engine/tests/large.rs
+++ b/src/engine/tests/large.rs
@@ -48,9 +48,16 @@
         world.faults.capacity = Some(1);
         world.run(30_000);
         let short = world.spent / 30;
+        for n in 0..960 {
+            world.submit(quick(&format!("run-4{n}"), Kind::Array, 8));
+        }
+        world.spent = Duration::ZERO;
+        world.run(30_000);
+        let many = world.spent / 30;
         println!(
             "{machines} machines: start of the day {start:?} in all; a second of reports alone \
-             {steady:?}, with 40 large gangs for which there is no room {short:?}"
+             {steady:?}, with 40 large gangs for which there is no room {short:?}, and with 960 \
+             more jobs {many:?}"
         );
     }
 }
