--- a/src/constants.rs
+++ b/src/constants.rs
@@ -193,6 +193,9 @@
 /// After a take-over, besides two reports, ms: a worker gives up on its old node after 4 s and
 /// needs a second to find the new leader.
 pub const SETTLE_MS: u64 = 5_000;
+/// A new leader rents as soon as no more than one in so many machines that must be up has yet to
+/// report: few enough for their room to matter little, more than are dead on most days.
+pub const UNHEARD_PART: usize = 4;
 /// A leader that has handed over because it could not hear the workers does not stand again for
 /// this long, ms, so that another does.
 pub const HAND_OVER_MS: u64 = 15_000;
--- a/src/engine/hiring.rs
+++ b/src/engine/hiring.rs
@@ -144,15 +144,24 @@
         }
     }
 
-    /// Shortly after a take-over, while machines that surely are up have yet to report here:
-    /// their room is not known. (Renting at once, a new leader doubled the fleet.)
+    /// Shortly after a take-over, while many machines that surely are up have yet to report here:
+    /// their room is not known. (Renting at once, a new leader doubled the fleet. Waiting for the
+    /// last of them, which may be dead, leaders that ended every twelve seconds never rented, and
+    /// a gang waited for four minutes.)
     fn settling(&self) -> bool {
         let Some(leader) = self.leader() else {
             return false;
         };
-        let long_up = |m: &Machine| m.phase == MachinePhase::Booting && !self.is_booting(m);
+        let (mut up, mut unheard) = (0, 0);
+        for machine in leader.machines.values() {
+            match machine.phase {
+                MachinePhase::Up => up += 1,
+                MachinePhase::Booting if !self.is_booting(machine) => unheard += 1,
+                _ => {}
+            }
+        }
         self.now < leader.since + k::SETTLE_MS + 2 * self.timing.report
-            && leader.machines.values().any(long_up)
+            && unheard * k::UNHEARD_PART > up + unheard
     }
 
     fn wanted(&self, candidates: &[Candidate<'_>]) -> Wanted {
@@ -343,13 +352,12 @@
             leader.hiring.list.failed(now, &mut self.rng);
             return;
         };
-        leader.hiring.list_after = None;
-        leader.hiring.listed = true;
-        leader.hiring.list.worked(now + k::LIST_EVERY_MS);
-        if let Some(last) = list.machines.last().filter(|_| list.more) {
-            leader.hiring.list_after = Some(last.id.clone());
-            leader.hiring.list.worked(now);
-        }
+        let more = list.machines.last().filter(|_| list.more);
+        leader.hiring.list_after = more.map(|last| last.id.clone());
+        // A page alone does not tell what is rented.
+        leader.hiring.listed |= more.is_none();
+        let pause = if more.is_some() { 0 } else { k::LIST_EVERY_MS };
+        leader.hiring.list.worked(now + pause);
         for listed in list.machines {
             let id = MachineId::from(&*listed.id);
             if leader.gone.get(&id).is_some() {
--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -748,3 +748,32 @@
     );
     assert_eq!(world.running("run-2"), 1);
 }
+
+/// Each leader ends after nine seconds, and one machine is dead: none of them ever rented, since
+/// each waited longer than it lived for the last machine to report.
+#[test]
+fn leaders_that_end_one_after_the_other_still_rent() {
+    let mut world = World::new(3, 400.0);
+    world.run(2_000);
+    world.submit(quick("run-1", Kind::Service, 20));
+    assert!(world.run_until(60_000, |w| w.running("run-1") == 20));
+    // Long enough for none of the machines to be taken for booting.
+    world.run(30_000);
+    let dead = world.machine_of("run-1").unwrap();
+    world.faults.hung.insert(dead);
+    for round in 0..8 {
+        let leader = world.leader().unwrap();
+        world.crash(leader);
+        if round == 1 {
+            // More whole machines than are kept for what is expected.
+            let mut gang = quick("run-2", Kind::Gang, 10);
+            (gang.gpus, gang.cpus, gang.memory_gb) = (4.0, 16.0, 64.0);
+            world.submit(gang);
+        }
+        world.run(100);
+        world.start(leader);
+        world.run(8_900);
+    }
+    assert!(world.begun.contains("run-2"), "{}", world.describe());
+    assert_eq!(world.broken, Vec::<String>::new());
+}
