--- a/src/engine/tests/large.rs
+++ b/src/engine/tests/large.rs
@@ -67,6 +67,8 @@
 #[test]
 fn a_large_fleet_is_heard_after_a_take_over() {
     let mut world = fleet(1_900);
+    // Until a machine that has not come up would be given up on.
+    world.run(30_000);
     let (busy, starts, term) = (world.busy(), world.starts, world.term());
     let copies: Vec<_> = busy.iter().flat_map(|m| world.reports(m).pop()).collect();
     let leader = world.leader().unwrap();
