One way to start tasks at their places; whether a leader settles is asked only when it would rent

settling() went over all machines at each step of the engine, after its time as before it. Beside it: one count of tasks for a slot, one test of what is remembered of a worker sent on, and the room for victims made once a pass. Behaviour stays as it is.

--- a/src/api/limit.rs
+++ b/src/api/limit.rs
@@ -77,8 +77,8 @@
     }
 }
 
-/// A connection that ends when nothing has been read or written for too long, and frees its
-/// slot when it is dropped.
+/// A connection that ends when nothing has been read for too long, and frees its slot when it is
+/// dropped.
 pub struct Limited {
     stream: TcpStream,
     _slot: OwnedSemaphorePermit,
--- a/src/engine/hiring.rs
+++ b/src/engine/hiring.rs
@@ -88,16 +88,18 @@
             let after = leader.hiring.list_after.clone();
             self.cloud(Op::Machines, CloudCall::List { after });
         }
-        let settling = self.settling();
-        let Role::Leader(leader) = &mut self.role else {
+        let Some(hiring) = self.leader().map(|l| &l.hiring) else {
             return;
         };
         // Until the first list nobody knows what is rented already; demand must not double it.
-        let busy = leader.hiring.renting > 0;
-        if busy || !leader.hiring.listed || now < leader.hiring.hire_at || settling {
+        // What goes over all machines comes last: this is asked at every step.
+        let busy = hiring.renting > 0;
+        if busy || !hiring.listed || now < hiring.hire_at || self.settling() {
             return;
         }
-        leader.hiring.hire_at = now + k::UPKEEP_EVERY_MS;
+        if let Some(leader) = self.leader_mut() {
+            leader.hiring.hire_at = now + k::UPKEEP_EVERY_MS;
+        }
         self.refresh_slots();
         let candidates = self.candidates();
         let (victims, in_vain) = self.preemption(&candidates);
@@ -152,6 +154,9 @@
         let Some(leader) = self.leader() else {
             return false;
         };
+        if self.now >= leader.since + k::SETTLE_MS + 2 * self.timing.report {
+            return false;
+        }
         let (mut up, mut unheard) = (0, 0);
         for machine in leader.machines.values() {
             match machine.phase {
@@ -160,8 +165,7 @@
                 _ => {}
             }
         }
-        self.now < leader.since + k::SETTLE_MS + 2 * self.timing.report
-            && unheard * k::UNHEARD_PART > up + unheard
+        unheard * k::UNHEARD_PART > up + unheard
     }
 
     fn wanted(&self, candidates: &[Candidate<'_>]) -> Wanted {
@@ -224,6 +228,7 @@
         let guaranteed = self.guaranteed();
         let all = Resources::default();
         let mut slots = leader.machines.with_room(all, |m| self.is_expected(m));
+        let mut real = None;
         let running = preempt::running(self.jobs.iter(), |id| guaranteed.contains(id), now);
         for unplaced in &leader.hiring.demand {
             let Some(c) = candidates.iter().find(|c| *c.id == unplaced.job) else {
@@ -247,8 +252,9 @@
             if tried || fresh || !short {
                 continue;
             }
-            let real = leader.machines.with_room(all, Machine::takes_tasks);
-            let victims = preempt::victims(c, most, &real, &running);
+            let real =
+                real.get_or_insert_with(|| leader.machines.with_room(all, Machine::takes_tasks));
+            let victims = preempt::victims(c, most, real, &running);
             if !victims.is_empty() {
                 return (Some((c.id.clone(), victims)), in_vain);
             }
--- a/src/engine/reports.rs
+++ b/src/engine/reports.rs
@@ -33,6 +33,13 @@
     until: Ms,
 }
 
+impl SentOn {
+    /// Whether it is to be remembered: for a worker's lease after either.
+    fn counts(&self, now: Ms, lease: Ms) -> bool {
+        now < self.sent.max(self.until) + lease
+    }
+}
+
 impl Engine {
     pub(super) fn on_report(&mut self, report: Report, to: ReplyId) {
         let Some(leader) = self.leader() else {
@@ -159,12 +166,11 @@
         // Not at each report: there may be thousands of both.
         if now >= self.sent_on_at {
             self.sent_on_at = now + k::UPKEEP_EVERY_MS;
-            self.sent_on
-                .retain(|_, s| now < s.sent.max(s.until) + lease);
+            self.sent_on.retain(|_, s| s.counts(now, lease));
         }
         let id = MachineId::from(machine);
         let known = self.sent_on.get(&id).copied();
-        let known = known.filter(|s| now < s.sent.max(s.until) + lease);
+        let known = known.filter(|s| s.counts(now, lease));
         if known.is_some_and(|s| now < s.until) {
             return true;
         }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -201,9 +201,7 @@
         while left > 0
             && let Some(slot) = cheapest(one, &zones, types, offers, only)
         {
-            let count = left
-                .min(slot.room.count_of(spec.need))
-                .min(placement::zone_room(spec, &zones, &slot.zone));
+            let count = slot.takes(spec, &zones, left);
             *zones.entry(slot.zone.clone()).or_insert(0) += count;
             left -= count;
             new.push((slot, count));
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -47,6 +47,12 @@
         }
     }
 
+    /// How many of `most` more tasks go here, given the job's tasks by zone.
+    pub fn takes(&self, spec: &Spec, zones: &BTreeMap<Arc<str>, u32>, most: u32) -> u32 {
+        most.min(self.room.count_of(spec.need))
+            .min(zone_room(spec, zones, &self.zone))
+    }
+
     fn fetches(&self, image: &Arc<str>) -> bool {
         self.fetching.iter().any(|(name, _)| name == image)
     }
@@ -137,6 +143,30 @@
     pub unplaced: Vec<Unplaced>,
 }
 
+impl Plan {
+    /// Starts the job's next tasks at their places.
+    fn start(
+        &mut self,
+        id: &JobId,
+        spec: &Spec,
+        mut indices: impl Iterator<Item = u32>,
+        places: &[Place],
+        slots: &mut [Slot],
+    ) {
+        for (at, count) in places {
+            let slot = &mut slots[*at];
+            slot.take(spec, *count);
+            for index in indices.by_ref().take(*count as usize) {
+                self.starts.push(Start {
+                    job: id.clone(),
+                    index,
+                    machine: slot.id.clone(),
+                });
+            }
+        }
+    }
+}
+
 /// Orders jobs: who is served first. Those that have waited too long come before all others, in the
 /// order in which they were submitted: by priority, a lasting backlog of urgent work would keep the
 /// rest waiting for ever.
@@ -243,20 +273,8 @@
     let most = waiting.min(left.saturating_add(UNPLACED_MOST));
     let wanted = teams.take(&spec.team, spec.need, most);
     let places = places(spec, zones, slots, wanted.min(left), None);
-    let mut indices = job.pending.iter();
-    let mut placed = 0;
-    for (at, count) in places {
-        slots[at].take(spec, count);
-        placed += count;
-        for index in indices.by_ref().take(count as usize) {
-            plan.starts.push(Start {
-                job: id.clone(),
-                index,
-                machine: slots[at].id.clone(),
-            });
-        }
-    }
-    let unplaced = wanted - placed;
+    let unplaced = wanted - tasks_of(&places);
+    plan.start(id, spec, job.pending.iter(), &places, slots);
     if unplaced > 0 {
         teams.give_back(&spec.team, spec.need.times(u64::from(unplaced)));
         plan.unplaced.push(Unplaced {
@@ -340,17 +358,7 @@
         });
         return full;
     };
-    let mut indices = 0..spec.tasks;
-    for (at, count) in places {
-        slots[at].take(spec, count);
-        for index in indices.by_ref().take(count as usize) {
-            plan.starts.push(Start {
-                job: id.clone(),
-                index,
-                machine: slots[at].id.clone(),
-            });
-        }
-    }
+    plan.start(id, spec, 0..spec.tasks, &places, slots);
     true
 }
 
@@ -431,9 +439,7 @@
         && let Some(Reverse((_, at))) = best.pop()
     {
         let slot = &slots[at];
-        let count = left
-            .min(slot.room.count_of(spec.need))
-            .min(zone_room(spec, &zones, &slot.zone));
+        let count = slot.takes(spec, &zones, left);
         if count > 0 {
             *zones.entry(slot.zone.clone()).or_insert(0) += count;
             places.push((at, count));
