--- /dev/null
+++ b/src/fleet/tests.rs
@@ -0,0 +1,96 @@
+use super::*;
+use crate::model::{Phase, Spec};
+use crate::wire::user::{Kind, tests::job as wire_job};
+
+fn types() -> Types {
+    let one = |name: &str, gpus: f64, price: f64| MachineType {
+        name: name.into(),
+        size: Resources::capacity(64.0, gpus, 512.0),
+        cache_gb: 100.0,
+        fetch_gb_per_s: 0.2,
+        price,
+        spot_price: price / 3.0,
+        boot_ms: 30_000,
+        zones: vec!["east".into(), "west".into()],
+    };
+    [one("big", 8.0, 8.0), one("small", 2.0, 4.0)]
+        .into_iter()
+        .map(|t| (t.name.clone(), t))
+        .collect()
+}
+
+fn want(
+    kind: Kind,
+    tasks: u32,
+    refused: &[Offer],
+    change: impl Fn(&mut crate::wire::user::Job),
+) -> Vec<(Offer, u64)> {
+    let mut wire = wire_job("run-1", kind, tasks.into());
+    change(&mut wire);
+    let job = Job::new(Spec::read(&wire), 1, 0, Phase::Open, 0);
+    let types = types();
+    let offers = offers(&types, &refused.iter().cloned().collect(), true);
+    let waiting = [Waiting {
+        job: &job,
+        tasks,
+        zones: BTreeMap::new(),
+    }];
+    wanted(&waiting, Vec::new(), &types, &offers, 50)
+        .rent
+        .into_iter()
+        .collect()
+}
+
+#[test]
+fn the_cheapest_share_is_rented_and_filled() {
+    let got = want(Kind::Array, 9, &[], |_| {});
+    assert_eq!(got.len(), 1);
+    assert_eq!(
+        (&*got[0].0.machine_type, got[0].0.spot, got[0].1),
+        ("big", false, 2)
+    );
+    let got = want(Kind::Array, 1, &[], |j| j.spot = true);
+    assert!(got[0].0.spot);
+}
+
+#[test]
+fn refused_offers_are_passed_over_and_gangs_stay_in_one_zone() {
+    let big_east = Offer {
+        machine_type: "big".into(),
+        zone: "east".into(),
+        spot: false,
+    };
+    let got = want(Kind::Gang, 12, &[big_east], |j| j.one_zone = true);
+    assert_eq!(got.len(), 1);
+    assert_eq!((&*got[0].0.zone, got[0].1), ("west", 2));
+    let got = want(Kind::Service, 4, &[], |j| j.spread = true);
+    assert_eq!(got.len(), 2, "a spread service needs both zones");
+}
+
+/// A node that had just started once took all live jobs for arrivals of that moment, and
+/// rented for as many again.
+#[test]
+fn jobs_from_before_a_restart_are_no_arrivals() {
+    let aim = Objective {
+        kind: "wait".into(),
+        class: Some("train".into()),
+        within_s: Some(20.0),
+    };
+    let spec = Spec::read(&wire_job("run-1", Kind::Service, 1));
+    let mut arrivals = Arrivals::default();
+    for n in 0..30 {
+        arrivals.note(1_000_000 + n, &JobId::from(&*format!("run-{n}")), &spec);
+    }
+    let aims = std::slice::from_ref(&aim);
+    let expected = |a: &Arrivals, wall| a.expected(wall, &types(), aims).len();
+    assert_eq!(expected(&arrivals, 1_400_000), 0);
+    for n in 0..18 {
+        arrivals.note(
+            1_220_000 + n * 10_000,
+            &JobId::from(&*format!("run-9{n}")),
+            &spec,
+        );
+    }
+    // One in 10 s, and 45 s (with a margin of a half) from renting to running: 7.
+    assert_eq!(expected(&arrivals, 1_400_000), 7);
+}
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -208,24 +208,4 @@
 pub type Types = BTreeMap<Arc<str>, MachineType>;
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn amounts_are_whole_thousandths() {
-        assert_eq!(Resources::demand(0.1 + 0.2, 0.0, 0.0).cpus, 300);
-        assert_eq!(Resources::demand(0.3001, 0.0, 0.0).cpus, 301);
-        assert_eq!(Resources::capacity(96.0, 0.0, 0.0).cpus, 96_000);
-        let ten = Resources::demand(9.6, 0.8, 57.6).times(10);
-        assert!(ten.fits_in(Resources::capacity(96.0, 8.0, 576.0)));
-    }
-
-    #[test]
-    fn task_names_are_parsed() {
-        let t = TaskId::parse("run-000412/3").unwrap();
-        assert_eq!((&*t.job.0, t.index), ("run-000412", 3));
-        assert_eq!(t.to_string(), "run-000412/3");
-        assert!(TaskId::parse("run-000412").is_none());
-        assert!(TaskId::parse("run-000412/x").is_none());
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/placement/preempt/tests.rs
@@ -0,0 +1,81 @@
+use super::*;
+use crate::model::{Phase, Spec, Stage};
+use crate::wire::user::{Kind, tests::job as wire_job};
+use crate::wire::worker::TaskState;
+
+fn job(team: &str, priority: Priority, on: &[&str]) -> Job {
+    let mut wire = wire_job("run-1", Kind::Array, 4);
+    wire.team = team.into();
+    wire.priority = priority;
+    wire.gpus = 2.0;
+    let mut job = Job::new(Spec::read(&wire), 1, 0, Phase::Open, 0);
+    for (index, machine) in (0..).zip(on) {
+        let placement = Placement {
+            machine: (*machine).into(),
+            attempt: 1,
+            stage: Stage::Up(TaskState::Running),
+            since: 0,
+            stop: None,
+        };
+        job.live.insert(index, placement);
+    }
+    job
+}
+
+fn stopped(ours: &Job, guaranteed: bool, theirs: &[(&str, &Job, bool)]) -> Vec<String> {
+    let mut slots = ["a", "b"].map(|id| crate::placement::tests::slot(id, "east", 4.0));
+    let ids: Vec<JobId> = theirs.iter().map(|(id, ..)| (*id).into()).collect();
+    for (_, job, _) in theirs {
+        for placement in job.live.values() {
+            let slot = slots
+                .iter_mut()
+                .find(|s| s.id == placement.machine)
+                .unwrap();
+            slot.room = slot.room - job.spec.need;
+        }
+    }
+    let jobs = ids.iter().zip(theirs.iter().map(|(_, job, _)| *job));
+    let within = |id: &JobId| theirs.iter().any(|(name, _, g)| *g && *name == &*id.0);
+    let running = running(jobs, within, SETTLED_MS);
+    let id = JobId::from("run-0");
+    let candidate = Candidate {
+        id: &id,
+        job: ours,
+        guaranteed,
+        aged: false,
+        zones: BTreeMap::new(),
+    };
+    victims(&candidate, 1, &slots, &running)
+        .iter()
+        .map(ToString::to_string)
+        .collect()
+}
+
+#[test]
+fn lower_priority_gives_way_and_equal_does_not() {
+    let ours = job("x", Priority::High, &[]);
+    let low = job("x", Priority::Low, &["a", "b"]);
+    let normal = job("x", Priority::Normal, &["a", "b"]);
+    assert_eq!(
+        stopped(
+            &ours,
+            false,
+            &[("run-8", &normal, false), ("run-9", &low, false)]
+        ),
+        ["run-9/0"]
+    );
+    let same = job("x", Priority::High, &["a", "a", "b", "b"]);
+    assert!(stopped(&ours, false, &[("run-9", &same, false)]).is_empty());
+}
+
+#[test]
+fn borrowed_room_is_given_back_whatever_its_priority() {
+    let ours = job("x", Priority::Normal, &[]);
+    let theirs = job("y", Priority::Production, &["a", "a", "b", "b"]);
+    assert_eq!(stopped(&ours, true, &[("run-9", &theirs, false)]).len(), 1);
+    assert!(
+        stopped(&ours, true, &[("run-9", &theirs, true)]).is_empty(),
+        "their guarantee"
+    );
+    assert!(stopped(&ours, false, &[("run-9", &theirs, false)]).is_empty());
+}
--- /dev/null
+++ b/src/placement/tests.rs
@@ -0,0 +1,159 @@
+use super::*;
+use crate::model::Phase;
+use crate::wire::user::tests::job as wire_job;
+
+pub fn slot(id: &str, zone: &str, gpus: f64) -> Slot {
+    let size = Resources::capacity(64.0, gpus, 512.0);
+    Slot {
+        id: id.into(),
+        machine_type: "g8".into(),
+        zone: zone.into(),
+        spot: false,
+        size,
+        room: size,
+        settled: Resources::default(),
+        images: Vec::new(),
+        fetching: Vec::new(),
+        boot_gb: 10.0,
+    }
+}
+
+fn job(kind: Kind, tasks: u64, change: impl Fn(&mut crate::wire::user::Job)) -> Job {
+    let mut wire = wire_job("run-1", kind, tasks);
+    change(&mut wire);
+    Job::new(Spec::read(&wire), 1, 0, Phase::Open, 0)
+}
+
+fn run(job: &Job, slots: &mut [Slot], gpus_max: Option<u64>) -> Plan {
+    let mut teams = Teams::default();
+    teams.limits.insert(
+        "vision".into(),
+        Limit {
+            cpus: None,
+            gpus: gpus_max,
+        },
+    );
+    let id = JobId::from("run-1");
+    let candidate = Candidate {
+        id: &id,
+        job,
+        guaranteed: true,
+        aged: false,
+        zones: BTreeMap::new(),
+    };
+    let bounds = Bounds {
+        starts: 100,
+        jobs: 100,
+    };
+    let mut rooms = slots.to_vec();
+    let plan = plan(&[candidate], &mut rooms, &mut teams, bounds);
+    rooms.sort_by(|a, b| a.id.cmp(&b.id));
+    slots.clone_from_slice(&rooms);
+    plan
+}
+
+#[test]
+fn tasks_fill_the_fullest_machine_first() {
+    let mut slots = [slot("a", "east", 8.0), slot("b", "east", 8.0)];
+    slots[1].room.gpus = 2000;
+    let plan = run(&job(Kind::Array, 3, |_| {}), &mut slots, None);
+    let on: Vec<&str> = plan.starts.iter().map(|s| &*s.machine.0).collect();
+    assert_eq!(on, ["b", "b", "a"]);
+}
+
+#[test]
+fn images_on_the_machine_count_before_fullness() {
+    let mut slots = [
+        slot("a", "east", 8.0),
+        slot("b", "east", 8.0),
+        slot("c", "east", 8.0),
+    ];
+    slots[0].room.gpus = 2000;
+    slots[0].fetching.push(("img-9".into(), 5.0));
+    slots[1].images.push("img-1".into());
+    slots[1].room.gpus = 1000;
+    let plan = run(&job(Kind::Array, 3, |_| {}), &mut slots, None);
+    let on: Vec<&str> = plan.starts.iter().map(|s| &*s.machine.0).collect();
+    assert_eq!(
+        on,
+        ["b", "c", "c"],
+        "the machine that has it, then one that fetches it alone"
+    );
+}
+
+#[test]
+fn team_limits_bound_starts_and_demand() {
+    let mut slots = [slot("a", "east", 8.0)];
+    let plan = run(&job(Kind::Array, 100, |_| {}), &mut slots, Some(3000));
+    assert_eq!((plan.starts.len(), plan.unplaced.len()), (3, 0));
+    let mut slots = [slot("a", "east", 2.0)];
+    let plan = run(&job(Kind::Array, 100, |_| {}), &mut slots, Some(3000));
+    assert_eq!((plan.starts.len(), plan.unplaced[0].tasks), (2, 1));
+}
+
+#[test]
+fn gangs_are_placed_whole_and_in_one_zone_if_asked() {
+    let mut slots = [slot("a", "east", 2.0), slot("b", "west", 2.0)];
+    let gang = job(Kind::Gang, 3, |j| j.one_zone = true);
+    let plan = run(&gang, &mut slots, None);
+    assert!(plan.starts.is_empty() && plan.unplaced[0].tasks == 3);
+    assert_eq!(
+        slots[0].room.gpus, 2000,
+        "nothing is held for a gang that does not fit"
+    );
+    let plan = run(&job(Kind::Gang, 3, |_| {}), &mut slots, None);
+    assert_eq!(plan.starts.len(), 3);
+}
+
+#[test]
+fn earlier_deadlines_are_served_first_within_a_priority() {
+    let with = |due| job(Kind::Array, 1, move |j| j.deadline_s = due);
+    let mut urgent = with(None);
+    urgent.spec.priority = crate::wire::user::Priority::High;
+    let jobs = [with(None), with(Some(90.0)), with(Some(30.0)), urgent];
+    let ids = ["run-1", "run-2", "run-3", "run-4"].map(JobId::from);
+    let mut candidates: Vec<Candidate<'_>> = ids
+        .iter()
+        .zip(&jobs)
+        .map(|(id, job)| Candidate {
+            id,
+            job,
+            guaranteed: false,
+            aged: false,
+            zones: BTreeMap::new(),
+        })
+        .collect();
+    order(&mut candidates);
+    let order: Vec<&str> = candidates.iter().map(|c| &*c.id.0).collect();
+    assert_eq!(order, ["run-4", "run-3", "run-2", "run-1"]);
+}
+
+#[test]
+fn zones_types_and_kinds_are_kept() {
+    let mut slots = [slot("a", "east", 9.0), slot("b", "west", 9.0)];
+    let plan = run(
+        &job(Kind::Service, 5, |j| j.spread = true),
+        &mut slots,
+        None,
+    );
+    let east = plan.starts.iter().filter(|s| &*s.machine.0 == "a").count();
+    assert_eq!((plan.starts.len(), east), (5, 3));
+    let mut slots = [slot("a", "east", 8.0)];
+    slots[0].spot = true;
+    assert!(
+        run(&job(Kind::Array, 1, |_| {}), &mut slots, None)
+            .starts
+            .is_empty()
+    );
+    assert_eq!(
+        run(&job(Kind::Array, 1, |j| j.spot = true), &mut slots, None)
+            .starts
+            .len(),
+        1
+    );
+    let mut slots = [slot("a", "east", 8.0)];
+    let other = job(Kind::Array, 1, |j| j.types = Some(vec!["cpu".into()]));
+    assert!(run(&other, &mut slots, None).starts.is_empty());
+    let west = job(Kind::Array, 1, |j| j.zone = Some("west".into()));
+    assert!(run(&west, &mut slots, None).starts.is_empty());
+}
--- a/src/recent.rs
+++ b/src/recent.rs
@@ -40,17 +40,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_oldest_is_dropped() {
-        let mut recent = Recent::new(2);
-        for id in ["a", "b", "b", "c"] {
-            recent.insert(id, 1);
-        }
-        assert_eq!(recent.get("a"), None);
-        assert_eq!(recent.get("b"), Some(&1));
-        assert_eq!(recent.values.len(), 2);
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/settings/tests.rs
@@ -0,0 +1,107 @@
+use super::*;
+
+pub const SAMPLE: &str = r#"
+node_name = "n0"
+site = "east"
+front = "127.0.0.1:0"
+back = "127.0.0.1:0"
+not_known = 3
+[[peers]]
+node_name = "n1"
+site = "west"
+addr = "127.0.0.1:9"
+[services]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:2"
+[cluster]
+nodes = 2
+zones = ["east", "west"]
+[[cluster.teams]]
+name = "vision"
+gpus = 4.0
+gpus_max = 8.0
+[[cluster.objectives]]
+kind = "wait"
+class = "train"
+within_s = 40.0
+[cluster.workers]
+report_s = 3.0
+lease_s = 17.0
+gang_wait_s = 30.0
+gang_peer_s = 6.0
+cancel_s = 42.0
+[cluster.state]
+rps = 200.0
+write_rps = 50.0
+value_kb = 8.0
+txn_ops = 24
+[cluster.cloud]
+rps = 2.0
+list_lag_s = 10.0
+[cluster.machine_limits]
+cpu_share = 0.12
+mem_mb = 98.0
+max_connections = 1817
+"#;
+
+#[test]
+fn errors_name_file_field_and_what_is_allowed() {
+    assert!(Settings::parse(SAMPLE, "s.toml").is_ok());
+    let bad = SAMPLE.replace("lease_s = 17.0", "lease_s = -1.0");
+    let text = Settings::parse(&bad, "s.toml").unwrap_err().to_string();
+    assert!(
+        text.contains("s.toml") && text.contains("workers.lease_s"),
+        "{text}"
+    );
+    assert!(text.contains("above 0"), "{text}");
+    let bad = SAMPLE.replace("cancel_s = 42.0", "cancel_s = 19.0");
+    assert!(
+        Settings::parse(&bad, "s.toml")
+            .unwrap_err()
+            .to_string()
+            .contains("cancel_s")
+    );
+    let bad = SAMPLE.replace("front = ", "fromt = ");
+    assert!(
+        Settings::parse(&bad, "s.toml")
+            .unwrap_err()
+            .to_string()
+            .contains("front")
+    );
+}
+
+/// The limit on sockets was once looked for in another table, and every node took 1,000.
+#[test]
+fn connections_follow_from_the_machine() {
+    let front = |text: &str| Settings::parse(text, "s.toml").unwrap().front_connections();
+    assert_eq!(front(SAMPLE), 1817 - OWN_CONNECTIONS);
+    let larger = SAMPLE.replace("= 1817", "= 12000");
+    assert_eq!(front(&larger), 12_000 - OWN_CONNECTIONS);
+    let (without, _) = SAMPLE.split_once("[cluster.machine_limits]").unwrap();
+    assert_eq!(front(without), k::DEFAULT_CONNECTIONS - OWN_CONNECTIONS);
+    let smaller = SAMPLE.replace("= 1817", "= 200");
+    assert_eq!(front(&smaller), 100);
+    let bad = SAMPLE.replace("= 1817", "= 10");
+    let text = Settings::parse(&bad, "s.toml").unwrap_err().to_string();
+    assert!(text.contains("machine_limits.max_connections"), "{text}");
+    assert!(text.contains("at least"), "{text}");
+}
+
+/// The inequality behind `ran_cancelled`: a node that has not heard of a cancellation stops
+/// answering within the grace, and the worker's lease ends before `cancel_s`.
+#[test]
+fn grace_and_worker_lease_end_before_a_cancellation_is_due() {
+    for (lease, cancel) in [(17.0, 42.0), (30.0, 55.0), (5.0, 12.0), (6.0, 9.0)] {
+        let t = Timing::new(&Workers {
+            report_s: 3.0,
+            lease_s: lease,
+            gang_wait_s: 30.0,
+            gang_peer_s: 6.0,
+            cancel_s: cancel,
+        });
+        let slow = |ms: u64| ms + ms / 2000;
+        assert!(slow(t.grace) + slow(t.worker_lease) + 500 < (cancel * 1000.0) as u64);
+        // Renewals and watches come at least this often while all is well.
+        assert!(t.grace > 2 * k::LEASE_RENEW_MS.max(k::WATCH_MS));
+    }
+}
