--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -38,6 +38,8 @@
     /// Final states seen here: they never change, so they need no fresh read.
     finals: Mutex<Recent<String, (JobState, u64)>>,
     calls: Semaphore,
+    /// For cancellations that other nodes are being told of.
+    telling: Arc<Semaphore>,
 }
 
 /// A job as the state service has it.
@@ -72,6 +74,7 @@
             peers,
             finals: Mutex::new(Recent::new(k::FINAL_CACHE)),
             calls: Semaphore::new(k::USER_CALLS),
+            telling: Arc::new(Semaphore::new(k::TELLING)),
         })
     }
 
@@ -303,6 +306,26 @@
         })
     }
 
+    /// Tells all engines of a durable cancellation, so that a leader whom the state service refuses
+    /// stops the job's tasks at once. Nothing rests on it, so past its bound it is left out.
+    fn tell_of_cancellation(&self, id: &str) {
+        let Ok(permit) = self.telling.clone().try_acquire_owned() else {
+            return;
+        };
+        let (commands, peers) = (self.commands.clone(), self.peers.clone());
+        let job = id.to_owned();
+        tokio::spawn(async move {
+            commands.send(Command::Cancelled((&*job).into())).await;
+            let said = Message::Cancelled { job };
+            for peer in peers.iter() {
+                if let Err(e) = peer.exchange(&said).await {
+                    tracing::debug!(peer = peer.node, "peer: {e}");
+                }
+            }
+            drop(permit);
+        });
+    }
+
     async fn cancel(&self, id: &str) -> Result<Answer, StoreError> {
         // Again if someone changed the record between read and write.
         for _ in 0..3 {
@@ -338,6 +361,7 @@
             match self.call(StoreCall::Commit(txn)).await {
                 Ok(_) => {
                     self.remember(id, JobState::Cancelled, tasks);
+                    self.tell_of_cancellation(id);
                     let known = Known::Final(JobState::Cancelled, tasks);
                     return Ok(self.accepted(id, &known).await);
                 }
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -82,6 +82,9 @@
 pub const WORKER_CALLS: usize = 96;
 /// And waiting to be, of stops and of other calls each: twice the largest fleet.
 pub const WORKER_CALLS_WAITING: usize = 4096;
+/// Cancellations at once that other nodes are told of: a peer that can't be reached takes up
+/// [`PEER_TIMEOUT`] for each, in which nothing else is said to it.
+pub const TELLING: usize = 4;
 /// How long a user's request may wait for the state service before it is answered 503: below
 /// the 2 s that a polling user waits.
 pub const USER_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -145,6 +148,9 @@
 /// Tasks one round may start, in as many records as that takes: with its conditions it stays well
 /// below the 64 KiB of a transaction. No larger gang can be placed.
 pub const ROUND_STARTS: usize = 512;
+/// A job whose record was found changed when its round was written is left out of rounds for this
+/// long, ms: the watch usually tells of the change within some ms, and at most a second later.
+pub const CHANGED_PAUSE_MS: u64 = 500;
 /// Unplaced tasks of one job that are counted: more than one rental could ever serve.
 pub const UNPLACED_MOST: u32 = 400;
 /// Between two placing passes, ms: submissions of a burst share a round.
--- a/src/engine/ends.rs
+++ b/src/engine/ends.rs
@@ -108,7 +108,10 @@
                     let record = WorkRecord {
                         done: job.done.chunk_text(chunk),
                     };
-                    txn = txn.put(records::work_key(&id, chunk), records::value(&record));
+                    // An older write that is carried out late must not undo this one.
+                    let version = job.progress_versions.get(&chunk).copied().unwrap_or(0);
+                    let key = records::work_key(&id, chunk);
+                    txn = txn.when(&key, version).put(key, records::value(&record));
                 }
                 batch.progress.push((id, news));
             }
@@ -130,7 +133,7 @@
 
     pub(super) fn on_ends_written(&mut self, batch: Batch, result: Result<StoreReply, StoreError>) {
         let now = self.now;
-        if let Ok(StoreReply::Committed { .. }) = result {
+        if let Ok(StoreReply::Committed { revision }) = result {
             if let Role::Leader(leader) = &mut self.role {
                 leader.ends.retry.worked(now);
             }
@@ -138,6 +141,8 @@
                 if let Some(job) = self.jobs.get_mut(&id) {
                     for index in tasks {
                         job.written.insert(index);
+                        let chunk = index / k::DONE_CHUNK;
+                        job.progress_versions.insert(chunk, revision);
                     }
                 }
             }
@@ -153,8 +158,16 @@
         {
             return self.step_down("a commit found another leader");
         }
-        if let Err(StoreError::Bad(why)) = &result {
-            tracing::error!("ends refused: {why}");
+        match &result {
+            Err(StoreError::Bad(why)) => tracing::error!("ends refused: {why}"),
+            // A write without an answer was carried out after all.
+            Err(StoreError::Conflict(failed)) => {
+                for (job, chunk) in failed.iter().filter_map(|key| records::work_of_key(key)) {
+                    let key = records::work_key(&job, chunk);
+                    self.store(Op::Progress { job, chunk }, StoreCall::Get { key });
+                }
+            }
+            _ => {}
         }
         // Not written, or not known to be: everything in it may be written twice.
         let Role::Leader(leader) = &mut self.role else {
@@ -172,6 +185,19 @@
         leader.ends.removals.extend(batch.removals);
     }
 
+    pub(super) fn on_progress_read(
+        &mut self,
+        job: &JobId,
+        chunk: u32,
+        result: Result<StoreReply, StoreError>,
+    ) {
+        // Unread, it fails the next write as well and is read again.
+        if let (Ok(StoreReply::Got(item)), Some(job)) = (result, self.jobs.get_mut(job)) {
+            let version = item.map_or(0, |item| item.version);
+            job.progress_versions.insert(chunk, version);
+        }
+    }
+
     /// The end of a job is on record.
     fn on_over(&mut self, id: &JobId) {
         let Some(job) = self.jobs.get_mut(id) else {
--- a/src/engine/leadership.rs
+++ b/src/engine/leadership.rs
@@ -211,7 +211,7 @@
             renewed: sent,
             touch_at: sent + k::LEASE_RENEW_MS,
             touching: false,
-            loading: Some(recovery::Part::Work),
+            loading: Some(recovery::Loading::default()),
             since: self.now,
             machines: Default::default(),
             gone: Recent::new(k::GONE_REMEMBERED),
@@ -221,7 +221,6 @@
             dirty: true,
             place_at: self.now,
         }));
-        self.load(recovery::Part::Work, None);
     }
 
     /// The campaign failed, or its outcome is unknown: its lease must not linger with the key.
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -56,6 +56,8 @@
     },
     /// What another node says of itself.
     Announced(Announcement),
+    /// A job's cancellation is durable: its user has been or will be told.
+    Cancelled(JobId),
 }
 
 /// The answer to a report or a count.
@@ -129,11 +131,14 @@
     },
     /// Nobody waits for the outcome.
     Forgotten,
-    Load {
-        part: recovery::Part,
-    },
+    Load,
     Round,
     Ends(ends::Batch),
+    /// A record of progress whose version is not known any more.
+    Progress {
+        job: JobId,
+        chunk: u32,
+    },
     Machines,
     Rent(hiring::Offer),
     Return(Vec<MachineId>),
@@ -166,7 +171,7 @@
     renewed: Ms,
     touch_at: Ms,
     touching: bool,
-    loading: Option<recovery::Part>,
+    loading: Option<recovery::Loading>,
     since: Ms,
     machines: machines::Machines,
     /// Machines that were returned.
@@ -299,6 +304,7 @@
                 Command::StoreDone { op, result } => self.on_store(op, result),
                 Command::CloudDone { op, result } => self.on_cloud(op, result),
                 Command::Announced(announcement) => self.on_announced(announcement),
+                Command::Cancelled(job) => self.on_cancelled(&job),
             }
         }
         self.on_time();
@@ -414,9 +420,10 @@
             Some(Op::CampaignTerm) => self.on_term(result),
             Some(Op::CampaignCommit { term }) => self.on_elected(term, result),
             Some(Op::Touch { sent }) => self.on_touched(sent, result),
-            Some(Op::Load { part }) => self.on_loaded(part, result),
+            Some(Op::Load) => self.on_loaded(result),
             Some(Op::Round) => self.on_round_written(result),
             Some(Op::Ends(batch)) => self.on_ends_written(batch, result),
+            Some(Op::Progress { job, chunk }) => self.on_progress_read(&job, chunk, result),
             // The remaining kinds are the cloud's, or nobody waits.
             _ => {}
         }
@@ -473,6 +480,7 @@
         }
         self.watch_when_due();
         self.lead_when_due();
+        self.load_when_due();
         if self.leader().is_some_and(|l| l.loading.is_none()) {
             self.keep_machines();
             self.keep_rounds();
--- a/src/engine/recovery.rs
+++ b/src/engine/recovery.rs
@@ -4,65 +4,103 @@
 //! as placed until the machine, having seen this leader's token, reports without it.
 
 use super::records::{self, ROUNDS, RoundRecord, WORK, WorkRecord};
-use super::{Engine, Op, Role};
+use super::{Engine, Op, Retry, Role};
 use crate::model::{JobId, Machine, MachineId, Placement, Stage, Tally, TaskId};
 use crate::store::{StoreCall, StoreError, StoreReply};
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Part {
+    /// The watch has yet to tell all that was durable when office was taken.
+    #[default]
+    Live,
     Work,
     Rounds,
 }
 
+/// How far a new leader's reading has come.
+#[derive(Debug, Default)]
+pub(super) struct Loading {
+    part: Part,
+    /// The last key read of this part.
+    after: Option<String>,
+    retry: Retry,
+}
+
 impl Engine {
-    pub(super) fn load(&mut self, part: Part, after: Option<String>) {
-        let prefix = match part {
+    /// Reads the next page. First all jobs must be known that an earlier leader may have placed: a
+    /// round that names an unknown job is not counted, and what the job has running would be started
+    /// again. (A watch may lag by seconds when the state service is slow.) A read that fails is
+    /// repeated: in an outage nobody else fares better, and the workers keep their work meanwhile; a
+    /// leader that alone is refused loses its lease.
+    pub(super) fn load_when_due(&mut self) {
+        let (now, known) = (self.now, self.revision);
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some(loading) = &mut leader.loading else {
+            return;
+        };
+        if loading.part == Part::Live && known.is_some_and(|known| known >= leader.version) {
+            loading.part = Part::Work;
+        }
+        let prefix = match loading.part {
+            Part::Live => return,
             Part::Work => WORK,
             Part::Rounds => ROUNDS,
         };
+        if !loading.retry.due(now) {
+            return;
+        }
+        loading.retry.busy = true;
         let call = StoreCall::List {
             prefix: prefix.into(),
-            after,
+            after: loading.after.clone(),
         };
-        self.store(Op::Load { part }, call);
+        self.store(Op::Load, call);
     }
 
-    pub(super) fn on_loaded(&mut self, part: Part, result: Result<StoreReply, StoreError>) {
-        if self.leader().is_none() {
+    pub(super) fn on_loaded(&mut self, result: Result<StoreReply, StoreError>) {
+        let now = self.now;
+        let Role::Leader(leader) = &mut self.role else {
             return;
-        }
+        };
+        let Some(loading) = &mut leader.loading else {
+            return;
+        };
+        let part = loading.part;
         let page = match result {
             Ok(StoreReply::Listed(page)) => page,
             other => {
-                // Without the records nothing can be decided: another node may fare better.
-                let why = other
-                    .err()
-                    .map_or("unexpected answer".into(), |e| e.to_string());
-                return self.step_down(&format!("records could not be read: {why}"));
+                if let Err(e) = other {
+                    tracing::info!("records could not be read: {e}");
+                }
+                return loading.retry.failed(now, &mut self.rng);
             }
         };
+        loading.retry.worked(now);
         let last = page.items.last().map(|item| item.key.clone());
         for item in page.items {
             let read = match part {
-                Part::Work => {
-                    records::read(item.value).and_then(|r| self.recover_work(&item.key, r))
-                }
                 Part::Rounds => {
                     records::read(item.value).and_then(|r| self.recover_round(&item.key, r))
                 }
+                _ => records::read(item.value)
+                    .and_then(|r| self.recover_work(&item.key, r, item.version)),
             };
             if read.is_none() {
                 tracing::error!(key = item.key, "record can't be read, left alone");
             }
         }
-        if page.more && last.is_some() {
-            return self.load(part, last);
-        }
-        if part == Part::Work {
-            if let Some(leader) = self.leader_mut() {
-                leader.loading = Some(Part::Rounds);
+        if let Some(loading) = self.leader_mut().and_then(|l| l.loading.as_mut()) {
+            if page.more && last.is_some() {
+                loading.after = last;
+                return;
+            }
+            loading.after = None;
+            if part != Part::Rounds {
+                loading.part = Part::Rounds;
+                return;
             }
-            return self.load(Part::Rounds, None);
         }
         if let Role::Leader(leader) = &mut self.role {
             for (id, job) in &self.jobs {
@@ -87,7 +125,7 @@
         }
     }
 
-    fn recover_work(&mut self, key: &str, record: WorkRecord) -> Option<()> {
+    fn recover_work(&mut self, key: &str, record: WorkRecord, version: u64) -> Option<()> {
         let (id, chunk) = records::work_of_key(key)?;
         let Some(job) = self.jobs.get_mut(&id) else {
             // Its job is over; the leader that ended it did not get to this.
@@ -97,6 +135,7 @@
             return Some(());
         };
         job.written.add_chunk(chunk, &record.done, job.spec.tasks)?;
+        job.progress_versions.insert(chunk, version);
         let done: Vec<u32> = job.written.iter().collect();
         for index in done {
             job.complete(index);
--- a/src/engine/reports.rs
+++ b/src/engine/reports.rs
@@ -62,7 +62,8 @@
         let loaded = leader.loading.is_none();
         let mut orders = Vec::new();
         // Before the records are read, or until the worker confirms the token, its lease is
-        // renewed and nothing else: an older token's starts may still be on their way.
+        // renewed and it is told of cancellations, nothing else: an older token's starts may still
+        // be on their way.
         if loaded && self.note_machine(&report, confirmed) && confirmed {
             self.reconcile(&report, &mut orders);
             let held = Held {
@@ -77,11 +78,31 @@
             };
             self.held.push(held);
         } else {
-            let token = token.0;
-            self.reply(to, Reply::Orders(Orders { token, orders }));
+            let answer = Reply::Orders(Orders {
+                token: token.0,
+                orders: self.stops_of_cancelled(&report),
+            });
+            self.reply(to, answer);
         }
     }
 
+    /// Stops of the report's tasks whose jobs are cancelled. They go with every answer that renews
+    /// a lease: leaders that end one after the other before they have read the records, when the
+    /// state service is slow, would else keep alive for ever what nobody stops.
+    fn stops_of_cancelled(&self, report: &Report) -> Vec<Order> {
+        let cancelled = |task: &&Task| {
+            let id = TaskId::parse(&task.task);
+            let job = id.and_then(|id| self.jobs.get(&id.job));
+            task.state != TaskState::Exited && job.is_some_and(|j| j.phase == Phase::Cancelled)
+        };
+        let stop = |task: &Task| Order::Stop {
+            task: task.task.clone(),
+            attempt: task.attempt,
+            grace_s: 0,
+        };
+        report.tasks.iter().filter(cancelled).map(stop).collect()
+    }
+
     /// Answers reports at the end of the step that they came in, so that what the step decided
     /// goes with the answer. While a round is about to be planned, or is being written with starts
     /// for the machine, the answer waits for it (some ms): else the starts would wait for the
@@ -133,20 +154,9 @@
         if let Some(term) = term
             && self.stands_in(&report.machine, seen.term() == term)
         {
-            let cancelled = |task: &&Task| {
-                let id = TaskId::parse(&task.task);
-                let job = id.and_then(|id| self.jobs.get(&id.job));
-                task.state != TaskState::Exited && job.is_some_and(|j| j.phase == Phase::Cancelled)
-            };
-            let stop = |task: &Task| Order::Stop {
-                task: task.task.clone(),
-                attempt: task.attempt,
-                grace_s: 0,
-            };
-            let orders = report.tasks.iter().filter(cancelled).map(stop).collect();
             return Reply::Orders(Orders {
                 token: seen.max(Token::first(term)).0,
-                orders,
+                orders: self.stops_of_cancelled(report),
             });
         }
         match &self.holder {
--- a/src/engine/rounds.rs
+++ b/src/engine/rounds.rs
@@ -1,6 +1,6 @@
 //! Rounds: planned on the model, written as one conditional transaction, then sent.
 
-use super::records::{self, LEAD, RoundRecord};
+use super::records::{self, JOBS, LEAD, RoundRecord};
 use super::{Engine, Op, Role};
 use crate::constants as k;
 use crate::model::{JobId, MachineId, Ms, Placement, Resources, Stage, TaskId};
@@ -262,6 +262,12 @@
             Err(StoreError::Conflict(failed)) => {
                 tracing::debug!(?failed, "round given up: its jobs have changed");
                 self.drop_round();
+                // Until the watch tells how, the others must not fail with them again.
+                for id in failed.iter().filter_map(|key| key.strip_prefix(JOBS)) {
+                    if let Some(job) = self.jobs.get_mut(&id.into()) {
+                        job.not_before = job.not_before.max(now + k::CHANGED_PAUSE_MS);
+                    }
+                }
             }
             Err(StoreError::Bad(why)) => {
                 tracing::error!("round refused: {why}");
--- a/src/engine/watching.rs
+++ b/src/engine/watching.rs
@@ -167,7 +167,7 @@
     }
 
     /// A cancellation is durable: nothing of the job may start, and what runs is stopped now.
-    fn on_cancelled(&mut self, id: &JobId) {
+    pub(super) fn on_cancelled(&mut self, id: &JobId) {
         let now = self.now;
         let Some(job) = self.jobs.get_mut(id) else {
             return;
--- a/src/model/job.rs
+++ b/src/model/job.rs
@@ -137,6 +137,8 @@
     pub done: TaskSet,
     /// Tasks whose end is durable.
     pub written: TaskSet,
+    /// Versions of the records of that, by chunk.
+    pub progress_versions: BTreeMap<u32, u64>,
     /// Tasks that wait to be placed.
     pub pending: TaskSet,
     pub live: BTreeMap<u32, Placement>,
@@ -159,6 +161,7 @@
             submitted,
             done: TaskSet::default(),
             written: TaskSet::default(),
+            progress_versions: BTreeMap::new(),
             pending,
             live: BTreeMap::new(),
             failures: 0,
--- a/src/node.rs
+++ b/src/node.rs
@@ -56,7 +56,7 @@
     }
 
     /// Sends a command that must not be lost: waits for room.
-    async fn send(&self, command: Command) {
+    pub async fn send(&self, command: Command) {
         // The engine ends only with the process.
         let _ = self.queue.send((command, None)).await;
     }
@@ -282,6 +282,10 @@
                     _ => Message::Nothing,
                 }
             }
+            Message::Cancelled { job } => {
+                commands.send(Command::Cancelled((&*job).into())).await;
+                Message::Nothing
+            }
             Message::Counts { .. } | Message::Nothing => Message::Nothing,
         };
         write_frame(&mut stream, &answer).await?;
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A frame is its length (four bytes, big-endian), the version, and a postcard message. Nothing
 //! here decides anything on its own: what a peer says makes a superseded leader give way
-//! sooner, and fills in numbers for display.
+//! sooner, has cancelled tasks stopped sooner, and fills in numbers for display.
 
 use crate::constants as k;
 use serde::{Deserialize, Serialize};
@@ -35,6 +35,10 @@
     },
     /// The answer to what can't be answered.
     Nothing,
+    /// A job's cancellation is durable. Answered with [`Message::Nothing`].
+    Cancelled {
+        job: String,
+    },
 }
 
 #[derive(Debug, thiserror::Error)]
