--- a/src/engine/leadership.rs
+++ b/src/engine/leadership.rs
@@ -5,7 +5,7 @@
 //! twice, and at most one leader's commits succeed.
 
 use super::records::{self, LEAD, LeadRecord, TERM, TermRecord};
-use super::{Engine, Holder, Leader, Op, Role, ends, hiring, recovery, rounds};
+use super::{Engine, Holder, Leader, Op, Role, ends, provisioning, recovery, rounds};
 use crate::constants as k;
 use crate::model::Ms;
 use crate::peer::Announcement;
@@ -217,7 +217,7 @@
             gone: Recent::new(k::GONE_REMEMBERED),
             rounds: rounds::Rounds::default(),
             ends: ends::Ends::default(),
-            hiring: hiring::Hiring::new(self.now),
+            provisioning: provisioning::Provisioning::new(self.now),
             dirty: true,
             place_at: self.now,
         }));
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -6,9 +6,9 @@
 //! comes back as a command.
 
 mod ends;
-mod hiring;
 mod leadership;
 mod machines;
+mod provisioning;
 mod records;
 mod recovery;
 mod reports;
@@ -140,7 +140,7 @@
         chunk: u32,
     },
     Machines,
-    Rent(hiring::Offer),
+    Rent(provisioning::Offer),
     Return(Vec<MachineId>),
 }
 
@@ -178,7 +178,7 @@
     gone: Recent<MachineId, ()>,
     rounds: rounds::Rounds,
     ends: ends::Ends,
-    hiring: hiring::Hiring,
+    provisioning: provisioning::Provisioning,
     /// Something changed that may allow a placement.
     dirty: bool,
     place_at: Ms,
@@ -486,7 +486,7 @@
             self.keep_rounds();
             self.place_when_due();
             self.write_ends_when_due();
-            self.hire_when_due();
+            self.provision_when_due();
         }
     }
 }
--- a/src/engine/hiring.rs
+++ b/src/engine/provisioning.rs
@@ -13,14 +13,14 @@
 pub(super) use crate::fleet::Offer;
 
 #[derive(Debug)]
-pub(super) struct Hiring {
+pub(super) struct Provisioning {
     pub demand: Vec<Unplaced>,
     /// Offers refused, until when, and for how long the next time.
     refused: BTreeMap<Offer, (Ms, u64)>,
     /// Names requests, together with the term.
     requests: u64,
     renting: usize,
-    hire_at: Ms,
+    rent_at: Ms,
     list: Retry,
     listed: bool,
     list_after: Option<String>,
@@ -35,14 +35,14 @@
     cut: BTreeMap<Arc<str>, Ms>,
 }
 
-impl Hiring {
+impl Provisioning {
     pub fn new(now: Ms) -> Self {
-        Hiring {
+        Provisioning {
             demand: Vec::new(),
             refused: BTreeMap::new(),
             requests: 0,
             renting: 0,
-            hire_at: now,
+            rent_at: now,
             list: Retry::default(),
             listed: false,
             list_after: None,
@@ -55,7 +55,7 @@
     }
 }
 
-impl Hiring {
+impl Provisioning {
     /// Offers refused a moment ago.
     fn refused_now(&self, now: Ms) -> BTreeSet<Offer> {
         let refused = self.refused.iter().filter(|(_, (until, _))| now < *until);
@@ -66,16 +66,16 @@
 impl Engine {
     pub(super) fn set_demand(&mut self, unplaced: Vec<Unplaced>) {
         let now = self.now;
-        if let Some(hiring) = self.leader_mut().map(|l| &mut l.hiring) {
+        if let Some(provisioning) = self.leader_mut().map(|l| &mut l.provisioning) {
             // The first that wait don't wait for the next pass as well.
-            if hiring.demand.is_empty() && !unplaced.is_empty() {
-                hiring.hire_at = now;
+            if provisioning.demand.is_empty() && !unplaced.is_empty() {
+                provisioning.rent_at = now;
             }
-            hiring.demand = unplaced;
+            provisioning.demand = unplaced;
         }
     }
 
-    pub(super) fn hire_when_due(&mut self) {
+    pub(super) fn provision_when_due(&mut self) {
         let now = self.now;
         if !self.confident() {
             return;
@@ -83,30 +83,30 @@
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        if leader.hiring.list.due(now) {
-            leader.hiring.list.busy = true;
-            let after = leader.hiring.list_after.clone();
+        if leader.provisioning.list.due(now) {
+            leader.provisioning.list.busy = true;
+            let after = leader.provisioning.list_after.clone();
             self.cloud(Op::Machines, CloudCall::List { after });
         }
-        let Some(hiring) = self.leader().map(|l| &l.hiring) else {
+        let Some(provisioning) = self.leader().map(|l| &l.provisioning) else {
             return;
         };
         // Until the first list nobody knows what is rented already; demand must not double it.
         // What goes over all machines comes last: this is asked at every step.
-        let busy = hiring.renting > 0;
-        if busy || !hiring.listed || now < hiring.hire_at || self.settling() {
+        let busy = provisioning.renting > 0;
+        if busy || !provisioning.listed || now < provisioning.rent_at || self.settling() {
             return;
         }
         if let Some(leader) = self.leader_mut() {
-            leader.hiring.hire_at = now + k::UPKEEP_EVERY_MS;
+            leader.provisioning.rent_at = now + k::UPKEEP_EVERY_MS;
         }
         self.refresh_slots();
         let candidates = self.candidates();
         let (victims, in_vain) = self.preemption(&candidates);
         let wanted = self.wanted(&candidates);
         if let Some(leader) = self.leader_mut() {
-            leader.hiring.keep = wanted.keep;
-            let preempted = &mut leader.hiring.preempted;
+            leader.provisioning.keep = wanted.keep;
+            let preempted = &mut leader.provisioning.preempted;
             preempted.retain(|_, until| now < *until);
             preempted.extend(
                 in_vain
@@ -123,20 +123,20 @@
         let more = calls.len() > most;
         for (offer, count) in calls.into_iter().take(most) {
             let term = self.leader().map_or(0, |l| l.term);
-            let Some(hiring) = self.leader_mut().map(|l| &mut l.hiring) else {
+            let Some(provisioning) = self.leader_mut().map(|l| &mut l.provisioning) else {
                 return;
             };
-            hiring.requests += 1;
-            hiring.renting += 1;
+            provisioning.requests += 1;
+            provisioning.renting += 1;
             if more {
-                hiring.hire_at = now + k::RENT_EVERY_MS;
+                provisioning.rent_at = now + k::RENT_EVERY_MS;
             }
             tracing::info!(
                 machine_type = %offer.machine_type, zone = %offer.zone, spot = offer.spot, count, "renting"
             );
             // Unique by the term and a count: never used before, by whatever node.
             let rent = Rent {
-                request: format!("t{term}-{}", hiring.requests),
+                request: format!("t{term}-{}", provisioning.requests),
                 machine_type: offer.machine_type.to_string(),
                 zone: offer.zone.to_string(),
                 spot: offer.spot,
@@ -173,9 +173,9 @@
             return Wanted::default();
         };
         let now = self.now;
-        let refused = leader.hiring.refused_now(now);
+        let refused = leader.provisioning.refused_now(now);
         let mut waiting: Vec<Waiting<'_>> = leader
-            .hiring
+            .provisioning
             .demand
             .iter()
             .filter_map(|unplaced| {
@@ -222,7 +222,7 @@
         let Some(leader) = self.leader() else {
             return (None, in_vain);
         };
-        if leader.hiring.refused_now(now).is_empty() {
+        if leader.provisioning.refused_now(now).is_empty() {
             return (None, in_vain);
         }
         let guaranteed = self.guaranteed();
@@ -230,12 +230,12 @@
         let mut slots = leader.machines.with_room(all, |m| self.is_expected(m));
         let mut real = None;
         let running = preempt::running(self.jobs.iter(), |id| guaranteed.contains(id), now);
-        for unplaced in &leader.hiring.demand {
+        for unplaced in &leader.provisioning.demand {
             let Some(c) = candidates.iter().find(|c| *c.id == unplaced.job) else {
                 continue;
             };
             let tried = leader
-                .hiring
+                .provisioning
                 .preempted
                 .get(c.id)
                 .is_some_and(|until| now < *until);
@@ -270,7 +270,10 @@
         let now = self.now;
         tracing::info!(job = %id, victims = victims.len(), "stopping tasks to make room");
         if let Some(leader) = self.leader_mut() {
-            leader.hiring.preempted.insert(id, now + k::PREEMPT_MS);
+            leader
+                .provisioning
+                .preempted
+                .insert(id, now + k::PREEMPT_MS);
         }
         for task in victims {
             self.stop_task(&task);
@@ -310,10 +313,10 @@
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        leader.hiring.renting = leader.hiring.renting.saturating_sub(1);
+        leader.provisioning.renting = leader.provisioning.renting.saturating_sub(1);
         match result {
             Ok(CloudReply::Rented(names)) => {
-                leader.hiring.refused.remove(&offer);
+                leader.provisioning.refused.remove(&offer);
                 for name in names {
                     let id = MachineId::from(&*name);
                     let machine = leader.machines.get_or_insert_with(id, |id| {
@@ -330,18 +333,25 @@
             }
             Ok(_) => {}
             Err(CloudError::NoCapacity) => {
-                let pause = leader.hiring.refused.get(&offer).map_or(0, |(_, p)| *p);
+                let pause = leader
+                    .provisioning
+                    .refused
+                    .get(&offer)
+                    .map_or(0, |(_, p)| *p);
                 let pause = (pause * 2).clamp(k::REFUSED_FIRST_MS, k::REFUSED_MOST_MS);
                 tracing::info!(
                     machine_type = %offer.machine_type, zone = %offer.zone, spot = offer.spot, pause, "no capacity"
                 );
-                leader.hiring.refused.insert(offer, (now + pause, pause));
+                leader
+                    .provisioning
+                    .refused
+                    .insert(offer, (now + pause, pause));
                 leader.dirty = true;
             }
             Err(CloudError::Failed(why)) => {
                 // If it was executed all the same, its machines show up in the list.
                 tracing::info!("renting failed: {why}");
-                leader.hiring.hire_at = now + k::RETRY_MOST_MS;
+                leader.provisioning.rent_at = now + k::RETRY_MOST_MS;
             }
         }
     }
@@ -355,15 +365,15 @@
             if let Err(e) = result {
                 tracing::debug!("machine list: {e}");
             }
-            leader.hiring.list.failed(now, &mut self.rng);
+            leader.provisioning.list.failed(now, &mut self.rng);
             return;
         };
         let more = list.machines.last().filter(|_| list.more);
-        leader.hiring.list_after = more.map(|last| last.id.clone());
+        leader.provisioning.list_after = more.map(|last| last.id.clone());
         // A page alone does not tell what is rented.
-        leader.hiring.listed |= more.is_none();
+        leader.provisioning.listed |= more.is_none();
         let pause = if more.is_some() { 0 } else { k::LIST_EVERY_MS };
-        leader.hiring.list.worked(now + pause);
+        leader.provisioning.list.worked(now + pause);
         for listed in list.machines {
             let id = MachineId::from(&*listed.id);
             if leader.gone.get(&id).is_some() {
@@ -407,19 +417,19 @@
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        if now < leader.hiring.upkeep_at {
+        if now < leader.provisioning.upkeep_at {
             return;
         }
-        leader.hiring.upkeep_at = now + k::UPKEEP_EVERY_MS;
+        leader.provisioning.upkeep_at = now + k::UPKEEP_EVERY_MS;
         for zone in cut_off {
-            leader.hiring.cut.insert(zone, now);
+            leader.provisioning.cut.insert(zone, now);
         }
         if lost_touch(leader, now, 2 * report_ms + k::SAFETY_MARGIN_MS) {
             self.step_down("most workers can't be heard");
             self.campaign.at = now + k::HAND_OVER_MS;
             return;
         }
-        let hiring = &leader.hiring;
+        let provisioning = &leader.provisioning;
         let mut taken = Vec::new();
         let mut back = Vec::new();
         for machine in leader.machines.values() {
@@ -427,7 +437,7 @@
             // stead: its machines' silence counts from the end of the cut, or from the end of
             // the longest time for which a node may do so. (Counted from their last report,
             // the whole zone was returned the moment the cut ended.)
-            let cut = hiring.cut.get(&machine.zone).copied().unwrap_or(0);
+            let cut = provisioning.cut.get(&machine.zone).copied().unwrap_or(0);
             let excused = cut.min(machine.seen + self.timing.grace);
             let unheard = now.saturating_sub(machine.seen.max(excused));
             // One that reports although nothing proves that it hears us is given its next report.
@@ -445,7 +455,7 @@
                 boot_ms: boot_ms.max(k::BOOT_PATIENCE_MIN_MS),
                 idle_ms,
                 silent: unheard > patience,
-                kept: hiring.keep.contains(&machine.id),
+                kept: provisioning.keep.contains(&machine.id),
             };
             if let Some(why) = look.return_why(machine) {
                 tracing::info!(machine = %machine.id, why, "returning machine");
@@ -472,7 +482,7 @@
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        if !confident || !leader.hiring.returns.due(self.now) {
+        if !confident || !leader.provisioning.returns.due(self.now) {
             return;
         }
         let returning = |m: &&Machine| m.phase == MachinePhase::Returning;
@@ -484,7 +494,7 @@
             .map(|m| m.id.clone())
             .collect();
         if !back.is_empty() {
-            leader.hiring.returns.busy = true;
+            leader.provisioning.returns.busy = true;
             let names = back.iter().map(ToString::to_string).collect();
             self.cloud(Op::Return(back), CloudCall::Return(names));
         }
@@ -518,16 +528,16 @@
         };
         if let Err(why) = result {
             tracing::info!("returning failed: {why}");
-            leader.hiring.returns.failed(now, &mut self.rng);
+            leader.provisioning.returns.failed(now, &mut self.rng);
             return;
         }
-        leader.hiring.returns.worked(now);
+        leader.provisioning.returns.worked(now);
         leader.dirty = true;
         let mut lost = Vec::new();
         for id in names {
             if let Some(machine) = leader.machines.remove(&id) {
                 // What was given back can be had again.
-                leader.hiring.refused.remove(&Offer {
+                leader.provisioning.refused.remove(&Offer {
                     machine_type: machine.machine_type,
                     zone: machine.zone,
                     spot: machine.spot,
--- a/src/engine/recovery.rs
+++ b/src/engine/recovery.rs
@@ -5,7 +5,7 @@
 
 use super::records::{self, ROUNDS, RoundRecord, WORK, WorkRecord};
 use super::{Engine, Op, Retry, Role};
-use crate::model::{JobId, Machine, MachineId, Placement, Stage, Tally, TaskId};
+use crate::model::{JobId, Machine, MachineId, Placement, SeqNo, Stage, TaskId};
 use crate::store::{StoreCall, StoreError, StoreReply};
 
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -183,7 +183,7 @@
             machine: machine.clone(),
             attempt,
             stage: Stage::Starting {
-                sent: Some(Tally::default()),
+                sent: Some(SeqNo::default()),
                 resends: u32::MAX,
             },
             since: now,
--- a/src/engine/reports.rs
+++ b/src/engine/reports.rs
@@ -8,7 +8,7 @@
 use super::{Effect, Engine, Reply, ReplyId, Role};
 use crate::constants as k;
 use crate::model::{
-    JobId, Machine, MachineId, MachinePhase, Ms, Phase, Stage, Tally, TaskId, Token,
+    JobId, Machine, MachineId, MachinePhase, Ms, Phase, SeqNo, Stage, TaskId, Token,
 };
 use crate::wire::user::Kind;
 use crate::wire::worker::{DirectOrders, Order, Orders, Report, Task, TaskState, Why};
@@ -19,7 +19,7 @@
 pub(super) struct Held {
     to: ReplyId,
     machine: MachineId,
-    tally: Tally,
+    seq_no: SeqNo,
     orders: Vec<Order>,
     since: Ms,
 }
@@ -69,7 +69,7 @@
             let held = Held {
                 to,
                 machine,
-                tally: Tally {
+                seq_no: SeqNo {
                     session: report.session,
                     seq: report.seq,
                 },
@@ -120,7 +120,7 @@
                 self.held.push(held);
                 continue;
             }
-            self.order_starts_and_stops(&held.machine, held.tally, &mut held.orders);
+            self.order_starts_and_stops(&held.machine, held.seq_no, &mut held.orders);
             self.reply(
                 held.to,
                 Reply::Orders(Orders {
@@ -203,7 +203,7 @@
     /// that is gone.
     fn note_machine(&mut self, report: &Report, confirmed: bool) -> bool {
         let (now, on_time) = (self.now, self.timing.on_time);
-        let tally = Tally {
+        let seq_no = SeqNo {
             session: report.session,
             seq: report.seq,
         };
@@ -219,11 +219,11 @@
             tracing::info!(machine = %id, "unexpected machine reports");
             Machine::new(id, "".into(), "".into(), report.spot, now)
         });
-        if tally <= machine.tally {
+        if seq_no <= machine.seq_no {
             return false;
         }
         machine.token = seen;
-        machine.note_report(tally, confirmed, now, on_time);
+        machine.note_report(seq_no, confirmed, now, on_time);
         if &*machine.machine_type != report.machine_type.as_str() {
             machine.machine_type = report.machine_type.as_str().into();
         }
@@ -250,7 +250,7 @@
     /// Compares a confirmed, newest report with the model, and collects orders.
     fn reconcile(&mut self, report: &Report, orders: &mut Vec<Order>) {
         let id = MachineId::from(&*report.machine);
-        let tally = Tally {
+        let seq_no = SeqNo {
             session: report.session,
             seq: report.seq,
         };
@@ -279,7 +279,7 @@
                 strays.insert((task_id, task.attempt));
             }
         }
-        self.on_absent(&id, tally, &named);
+        self.on_absent(&id, seq_no, &named);
         let now = self.now;
         if let Some(machine) = self.leader_mut().and_then(|l| l.machines.get_mut(&id)) {
             for (task, _) in strays.difference(&machine.strays) {
@@ -449,7 +449,7 @@
     }
 
     /// Tasks placed on the machine that its newest report does not name.
-    fn on_absent(&mut self, id: &MachineId, tally: Tally, named: &BTreeSet<(TaskId, u64)>) {
+    fn on_absent(&mut self, id: &MachineId, seq_no: SeqNo, named: &BTreeSet<(TaskId, u64)>) {
         let Some(machine) = self.leader().and_then(|l| l.machines.get(id)) else {
             return;
         };
@@ -483,7 +483,7 @@
                 } => {
                     // Not there although the start was sent: lost on the way. It is sent again
                     // unless that was tried often enough.
-                    sent < tally && (resends >= k::START_RESENDS || placement.stop.is_some())
+                    sent < seq_no && (resends >= k::START_RESENDS || placement.stop.is_some())
                 }
                 Stage::Up(_) => true,
             };
@@ -534,7 +534,7 @@
     }
 
     /// Starts and stops that this machine has to be told.
-    fn order_starts_and_stops(&mut self, id: &MachineId, tally: Tally, orders: &mut Vec<Order>) {
+    fn order_starts_and_stops(&mut self, id: &MachineId, seq_no: SeqNo, orders: &mut Vec<Order>) {
         let confident = self.confident();
         let Some(machine) = self.leader().and_then(|l| l.machines.get(id)) else {
             return;
@@ -563,7 +563,7 @@
             {
                 let resends = if sent.is_some() { resends + 1 } else { 0 };
                 placement.stage = Stage::Starting {
-                    sent: Some(tally),
+                    sent: Some(seq_no),
                     resends,
                 };
                 tracing::debug!(%task, machine = %id, resends, "start sent");
@@ -652,7 +652,7 @@
     machine.direct += 1;
     let orders = DirectOrders {
         token: machine.token.0,
-        session: machine.tally.session,
+        session: machine.seq_no.session,
         orders,
     };
     Some(Effect::Orders { addr, orders })
--- a/src/engine/rounds.rs
+++ b/src/engine/rounds.rs
@@ -67,7 +67,7 @@
         self.confident()
             && self
                 .leader()
-                .is_some_and(|l| l.dirty && !l.hiring.demand.is_empty())
+                .is_some_and(|l| l.dirty && !l.provisioning.demand.is_empty())
     }
 
     /// Plans on the model as it stands.
--- a/src/model/job.rs
+++ b/src/model/job.rs
@@ -2,7 +2,7 @@
 
 use crate::constants::{AGED_MS, FAILURES_AGED, NO_DEADLINE_MS};
 
-use super::{MachineId, Ms, Resources, Tally, TaskSet};
+use super::{MachineId, Ms, Resources, SeqNo, TaskSet};
 use crate::wire::user::{self, Kind, Priority};
 use crate::wire::worker::TaskState;
 use std::collections::{BTreeMap, BTreeSet};
@@ -104,7 +104,7 @@
     /// Its round is being written.
     Planned,
     /// Its round is durable. `sent`: the report whose response carried the start.
-    Starting { sent: Option<Tally>, resends: u32 },
+    Starting { sent: Option<SeqNo>, resends: u32 },
     /// A report named it.
     Up(TaskState),
 }
--- a/src/model/machine.rs
+++ b/src/model/machine.rs
@@ -7,7 +7,7 @@
 
 /// Orders a machine's messages: a larger one is newer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Tally {
+pub struct SeqNo {
     pub session: u64,
     pub seq: u64,
 }
@@ -60,7 +60,7 @@
     pub rented: Ms,
     /// When it last proved that it is alive and that our answers reach it (or we learnt of it).
     pub seen: Ms,
-    pub tally: Tally,
+    pub seq_no: SeqNo,
     /// The highest token it has seen or been sent in this leader's term.
     pub token: Token,
     /// When it was last sent a higher token to make it report.
@@ -70,7 +70,7 @@
     pub received: Ms,
     /// Whether its newest report is such a proof. Without one it is given nothing to do.
     pub heard: bool,
-    /// Orders sent directly since its newest report; each that was executed raises its tally.
+    /// Orders sent directly since its newest report; each that was executed raises its seq_no.
     pub direct: u64,
     /// The cloud has named it: it is more than a report of a machine that may be long gone.
     pub vouched: bool,
@@ -101,7 +101,7 @@
             phase: MachinePhase::Booting,
             rented: now,
             seen: now,
-            tally: Tally::default(),
+            seq_no: SeqNo::default(),
             token: Token::default(),
             rung: None,
             received: now,
@@ -123,16 +123,16 @@
     /// last answer. Any other may be from a machine that our answers don't reach (it asks other
     /// nodes in turn), or a late copy from one that is gone: it proves nothing, and the next one
     /// is waited for.
-    pub fn note_report(&mut self, tally: Tally, confirmed: bool, now: Ms, on_time: Ms) {
+    pub fn note_report(&mut self, seq_no: SeqNo, confirmed: bool, now: Ms, on_time: Ms) {
         let first = confirmed && self.phase == MachinePhase::Booting;
-        let next = tally.session == self.tally.session
-            && tally.seq <= self.tally.seq + 1 + self.direct
+        let next = seq_no.session == self.seq_no.session
+            && seq_no.seq <= self.seq_no.seq + 1 + self.direct
             && now <= self.received + on_time;
         self.heard = confirmed && (first || next);
         if self.heard {
             self.seen = now;
         }
-        self.tally = tally;
+        self.seq_no = seq_no;
         self.received = now;
         self.direct = 0;
     }
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -6,7 +6,7 @@
 mod task_set;
 
 pub use job::{Job, Phase, Placement, Spec, Stage, Stop};
-pub use machine::{Machine, MachinePhase, Tally, Token};
+pub use machine::{Machine, MachinePhase, SeqNo, Token};
 pub use task_set::TaskSet;
 
 use std::collections::BTreeMap;
