--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -1,6 +1,7 @@
 //! The engine in a scripted world, under a fake clock.
 
 mod large;
+mod meetings;
 mod world;
 
 use crate::constants as k;
--- a/src/engine/tests/world.rs
+++ b/src/engine/tests/world.rs
@@ -11,7 +11,7 @@
 use crate::store::{StoreCall, StoreError, StoreReply};
 use crate::wire::cloud as wc;
 use crate::wire::store as ws;
-use crate::wire::user::{Job, JobState};
+use crate::wire::user::{Job, JobState, Kind};
 use crate::wire::worker::{Order, Report, Task, TaskState, Why};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -55,6 +55,17 @@
     pub capacity: Option<usize>,
     /// Nodes that can't reach the workers, nor they them.
     pub no_workers: BTreeSet<usize>,
+    /// Every nth commit gets no answer and is carried out 2 to 12 s later, after newer ones.
+    pub late_every: u64,
+    /// The same of the next commit that writes a key that begins so, 12 s later.
+    pub late_write: Option<&'static str>,
+    /// Machines whose reports reach no node, while direct orders reach them.
+    pub mute: BTreeSet<String>,
+    /// Of every nth report a copy arrives again, 2 to 38 s later, at all nodes.
+    pub copy_every: u64,
+    /// Calls and watches' answers of these nodes take this much longer, ms.
+    pub slow_calls: BTreeMap<usize, Ms>,
+    pub slow_watch: BTreeMap<usize, Ms>,
 }
 
 #[derive(Default)]
@@ -117,6 +128,9 @@
     Send(String),
     Receive(String, u64, Option<Reply>),
     Direct(String, crate::wire::worker::DirectOrders),
+    /// A transaction whose sender gave it up.
+    Late(ws::Txn),
+    Copy(Report),
 }
 
 struct Node {
@@ -143,6 +157,11 @@
     /// Time that the engines took: for whoever measures, no test depends on it.
     pub spent: std::time::Duration,
     pub starts: u64,
+    /// Tasks that have completed.
+    pub finished: BTreeSet<String>,
+    /// Tasks that take this much longer than their job says, ms.
+    pub longer: BTreeMap<String, Ms>,
+    reports: u64,
     /// Where each task was started.
     places: BTreeMap<String, BTreeSet<String>>,
     /// Jobs of which something was started.
@@ -192,6 +211,9 @@
             broken: Vec::new(),
             spent: Default::default(),
             starts: 0,
+            finished: BTreeSet::new(),
+            longer: BTreeMap::new(),
+            reports: 0,
             places: BTreeMap::new(),
             begun: BTreeSet::new(),
             returned: Vec::new(),
@@ -349,6 +371,23 @@
         self.workers[machine].reports.clone()
     }
 
+    /// Jobs of which something neither runs nor has ended.
+    pub fn waiting(&self) -> Vec<String> {
+        let open = |id: &&String| !self.cancelled.contains_key(*id) && !self.done(id);
+        let missing = |id: &&String| {
+            let of = format!("{id}/");
+            let ended = self.finished.iter().filter(|t| t.starts_with(&of)).count();
+            ((self.running(id) + ended) as u64) < self.jobs[*id].tasks
+        };
+        let jobs = self.jobs.keys().filter(open).filter(missing);
+        jobs.cloned().collect()
+    }
+
+    /// Whether a user can still call the job off.
+    pub fn is_live(&self, id: &str) -> bool {
+        self.store.keys.contains_key(&records::job_key(id))
+    }
+
     /// Late copies of reports, newest first, at every node that is up; their answers are lost.
     pub fn repeat_reports(&mut self, reports: &[Report]) {
         for node in 0..self.nodes.len() {
@@ -473,11 +512,12 @@
             }
             Ev::Receive(name, seq, reply) => self.receive(&name, seq, reply),
             Ev::Direct(name, direct) => {
-                if self.faults.deaf.contains(&name) {
+                if self.faults.deaf.contains(&name) || self.faults.cut.contains(&name) {
                     return;
                 }
-                if self.faults.hung.contains(&name) || self.faults.cut.contains(&name) {
-                    return;
+                // A machine that hangs executes it afterwards, if session and token still match.
+                if self.faults.hung.contains(&name) && self.workers.contains_key(&name) {
+                    return self.at(100, Ev::Direct(name, direct));
                 }
                 let Some(w) = self.workers.get_mut(&name) else {
                     return;
@@ -495,6 +535,11 @@
                     self.execute(&name, &direct.orders);
                 }
             }
+            Ev::Late(txn) => {
+                // Its condition may well fail by now.
+                let _ = self.commit(&txn);
+            }
+            Ev::Copy(report) => self.repeat_reports(&[report]),
         }
     }
 
@@ -548,7 +593,8 @@
                     });
                     return self.serve_watches();
                 }
-                match self.faults.store_delay {
+                let slow = self.faults.slow_calls.get(&node);
+                match self.faults.store_delay + slow.copied().unwrap_or(0) {
                     0 => self.serve_store(node, epoch, op, &call),
                     delay => self.at(delay, Ev::Store(node, epoch, op, call)),
                 }
@@ -562,26 +608,43 @@
             }
             Effect::Orders { addr, orders } => {
                 let name = format!("host-{:06}", addr.port());
-                if self.reaches(&name, node) {
+                if self.connects(&name, node) {
                     self.at(LATENCY, Ev::Direct(name, orders));
                 }
             }
         }
     }
 
+    /// Whether a report gets to the node, and its answer back.
     fn reaches(&self, worker: &str, node: usize) -> bool {
+        let stays = self.faults.hung.contains(worker) || self.faults.mute.contains(worker);
+        !stays && self.connects(worker, node)
+    }
+
+    fn connects(&self, worker: &str, node: usize) -> bool {
         let Some(w) = self.workers.get(worker) else {
             return false;
         };
         let cut = self.faults.zones_cut && w.zone != self.nodes[node].zone;
         let cut = cut || self.faults.no_workers.contains(&node);
-        !cut && !self.faults.hung.contains(worker) && !self.faults.cut.contains(worker)
+        !cut && !self.faults.cut.contains(worker)
     }
 
     // The state service.
 
     fn serve_store(&mut self, node: usize, epoch: u64, op: u64, call: &StoreCall) {
         let refused = self.faults.store_down || self.faults.store_refuses.contains(&node);
+        if let StoreCall::Commit(txn) = call
+            && !refused
+            && let Some(late) = self.lateness(txn)
+        {
+            self.store.commits += 1;
+            self.at(late, Ev::Late(txn.clone()));
+            let result = Err(StoreError::Unknown("no answer".into()));
+            let patience = k::STORE_TIMEOUT.as_millis() as Ms;
+            let command = Command::StoreDone { op, result };
+            return self.at(patience, Ev::Command(node, epoch, command));
+        }
         let result = if refused {
             Err(StoreError::Refused("503".into()))
         } else {
@@ -592,6 +655,26 @@
         self.serve_watches();
     }
 
+    /// By how much the transaction is late, if it gets no answer.
+    fn lateness(&mut self, txn: &ws::Txn) -> Option<Ms> {
+        let begins = |key: &str| {
+            let written = txn.writes.iter().map(|write| match write {
+                ws::Write::Put { put, .. } => put,
+                ws::Write::Delete { delete } => delete,
+            });
+            written.into_iter().any(|k| k.starts_with(key))
+        };
+        if self.faults.late_write.is_some_and(begins) {
+            self.faults.late_write = None;
+            return Some(12_000);
+        }
+        let number = self.store.commits + 1;
+        let late = 2_000 + number * 1_700 % 10_000;
+        number
+            .is_multiple_of(self.faults.late_every)
+            .then_some(late)
+    }
+
     fn store_call(&mut self, call: &StoreCall) -> Result<StoreReply, StoreError> {
         match call {
             StoreCall::Get { key } => Ok(StoreReply::Got(self.store.keys.get(key).map(
@@ -697,6 +780,7 @@
         if !failed.is_empty() {
             return Err(StoreError::Conflict(failed));
         }
+        self.check_finals(txn);
         self.store.revision += 1;
         let revision = self.store.revision;
         for write in &txn.writes {
@@ -723,6 +807,34 @@
         Ok(StoreReply::Committed { revision })
     }
 
+    /// A job is called done after its tasks are, and nothing else after that.
+    fn check_finals(&mut self, txn: &ws::Txn) {
+        for write in &txn.writes {
+            let ws::Write::Put { put, value, .. } = write else {
+                continue;
+            };
+            let Some(id) = put.strip_prefix("final/") else {
+                continue;
+            };
+            let state = records::read_final(value.clone()).map(|f| f.state);
+            let now = self.now;
+            if self.state(id).is_some_and(|old| Some(old) != state) {
+                self.broken
+                    .push(format!("{now}: went_back {id} to {state:?}"));
+            }
+            let of = format!("{id}/");
+            let ended = self.finished.iter().filter(|t| t.starts_with(&of)).count() as u64;
+            let job = &self.jobs[id];
+            let enough = match job.kind {
+                Kind::Gang => 1,
+                _ => job.tasks,
+            };
+            if state == Some(JobState::Done) && ended < enough {
+                self.broken.push(format!("{now}: not_done {id}"));
+            }
+        }
+    }
+
     fn delete(&mut self, key: &str, version: u64) {
         self.store.leased.remove(key);
         if self.store.keys.remove(key).is_some() {
@@ -762,9 +874,7 @@
     }
 
     fn serve_watches(&mut self) {
-        if self.faults.store_down {
-            return;
-        }
+        let down = self.faults.store_down;
         let (now, revision) = (self.now, self.store.revision);
         let mut rest = Vec::new();
         for w in std::mem::take(&mut self.store.watches) {
@@ -778,14 +888,19 @@
                 })
                 .map(|(_, event)| event.clone())
                 .collect();
-            let refused = self.faults.store_refuses.contains(&w.node);
-            if refused || (events.is_empty() && now < w.until) {
+            let waits = down || self.faults.store_refuses.contains(&w.node);
+            let result = if now >= w.until + k::WATCH_SLACK.as_millis() as Ms {
+                // The caller has given up.
+                Err(StoreError::Unknown("no answer".into()))
+            } else if waits || (events.is_empty() && now < w.until) {
                 rest.push(w);
                 continue;
-            }
-            let result = Ok(StoreReply::Changed(ws::Changes { revision, events }));
+            } else {
+                Ok(StoreReply::Changed(ws::Changes { revision, events }))
+            };
             let command = Command::StoreDone { op: w.op, result };
-            self.at(LATENCY, Ev::Command(w.node, w.epoch, command));
+            let slow = self.faults.slow_watch.get(&w.node).copied().unwrap_or(0);
+            self.at(LATENCY + slow, Ev::Command(w.node, w.epoch, command));
         }
         self.store.watches = rest;
     }
@@ -910,6 +1025,11 @@
         };
         w.reports.push(report.clone());
         let (node, seq) = (w.node, w.seq);
+        self.reports += 1;
+        if self.reports.is_multiple_of(self.faults.copy_every) {
+            let late = 2_000 + self.reports * 3_700 % 36_000;
+            self.at(late, Ev::Copy(report.clone()));
+        }
         let epoch = self.nodes[node].epoch;
         self.at(WORKER_TIMEOUT, Ev::Receive(name.into(), seq, None));
         if self.reaches(name, node) && self.nodes[node].engine.is_some() {
@@ -923,9 +1043,13 @@
 
     fn receive(&mut self, name: &str, seq: u64, reply: Option<Reply>) {
         let (now, nodes) = (self.now, self.nodes.len());
-        if self.faults.hung.contains(name) || reply.is_some() && self.faults.deaf.contains(name) {
+        if reply.is_some() && (self.faults.hung.contains(name) || self.faults.deaf.contains(name)) {
             return;
         }
+        // Its own patience counts on once it goes on.
+        if self.faults.hung.contains(name) && self.workers.contains_key(name) {
+            return self.at(500, Ev::Receive(name.into(), seq, None));
+        }
         let Some(w) = self.workers.get_mut(name) else {
             return;
         };
@@ -1069,7 +1193,8 @@
                 let (id, _) = task.rsplit_once('/').unwrap();
                 let job = &self.jobs[id];
                 let fetched = w.images.contains(&job.image) || now >= t.since + FETCH;
-                let run = (job.estimate_s * 1000.0) as Ms;
+                let longer = self.longer.get(task).copied().unwrap_or(0);
+                let run = (job.estimate_s * 1000.0) as Ms + longer;
                 let exit = |t: &mut OnMachine, why| {
                     t.state = TaskState::Exited;
                     t.why = Some(why);
@@ -1087,6 +1212,7 @@
                     }
                 } else if t.state == TaskState::Running && run > 0 && now >= t.since + run {
                     exit(t, Why::Done);
+                    self.finished.insert(task.clone());
                 }
                 match t.state {
                     TaskState::Fetching => w.next = w.next.min(t.since + FETCH),
