--- a/src/engine/tests/meetings.rs
+++ b/src/engine/tests/meetings.rs
@@ -122,15 +122,17 @@
     world.submit(quick("run-2", Kind::Service, 1));
     all_report_to(&mut world, quick_one);
     assert!(world.run_until(1_500, |w| w.begun.contains("run-2")));
-    // In office for a second.
+    // In office for a second; back, it is refused.
     world.crash(quick_one);
+    world.faults.store_refuses.insert(quick_one);
+    world.start(quick_one);
     let machine = world.machine_of("run-2").unwrap();
     world.faults.cut.insert(machine);
-    let office = |w: &World| w.engine(slow_one).unwrap().view().leading;
-    assert!(world.run_until(10_000, office));
-    // From here on its calls are quick.
+    // Its candidacy is under way; what it calls after that is answered at once.
+    world.run(2_200);
     world.faults.slow_calls.clear();
-    world.run(100);
+    let leads = |w: &World| w.engine(slow_one).unwrap().view().leading;
+    assert!(world.run_until(3_000, leads));
     all_report_to(&mut world, slow_one);
     world.run(12_000);
     assert_eq!(world.broken, Vec::<String>::new(), "{}", world.describe());
