--- a/src/engine/tests/meetings.rs
+++ b/src/engine/tests/meetings.rs
@@ -75,6 +75,67 @@
     }
 }
 
+/// Guards against leases renewed without a stop, and against office given up for a page that could
+/// not be read: leaders change while the records can't be read for longer than a cancellation may
+/// take, and reports are answered all the while.
+#[test]
+fn leaders_that_can_not_read_the_records_stop_what_is_cancelled_and_keep_the_rest() {
+    for every in [12_000, 60_000] {
+        let mut world = world_of_two_services();
+        world.faults.no_records = true;
+        for _ in 0..60_000 / every {
+            let leader = world.leader().unwrap();
+            world.crash(leader);
+            if !world.cancelled.contains_key("run-1") {
+                world.cancel("run-1");
+            }
+            world.run(1_000);
+            world.start(leader);
+            world.run(every - 1_000);
+        }
+        assert_eq!(world.running("run-1"), 0, "{}", world.describe());
+        assert_eq!((world.running("run-2"), world.starts), (4, 8));
+        recovers(&mut world);
+    }
+}
+
+/// What a peer says shortens the time to a stop; nothing rests on it. The leader alone is refused.
+#[test]
+fn a_refused_leader_that_is_told_of_a_cancellation_stops_the_tasks_at_once() {
+    for told in [false, true] {
+        let mut world = world_of_two_services();
+        let leader = world.leader().unwrap();
+        world.faults.store_refuses.insert(leader);
+        world.run(200);
+        world.cancel("run-1");
+        if told {
+            world.tell_of_cancellation(leader, "run-1");
+        }
+        world.run(1_000);
+        assert_eq!(world.running("run-1"), if told { 0 } else { 4 });
+        recovers(&mut world);
+    }
+}
+
+/// Guards against one job whose record has changed unheard failing everybody's rounds.
+#[test]
+fn a_job_changed_unheard_keeps_no_other_from_its_round() {
+    let mut world = world_of_two_services();
+    world.run(10_000);
+    let leader = world.leader().unwrap();
+    world.submit(quick("run-3", Kind::Array, 1));
+    world.cancel("run-1");
+    world.run(2_000);
+    // Room for both; the leader hears of what follows only with its next watch's answer.
+    world.submit(quick("run-4", Kind::Array, 1));
+    world.submit(quick("run-5", Kind::Array, 1));
+    world.run(20);
+    world.faults.slow_watch.insert(leader, 2_500);
+    world.cancel("run-4");
+    assert!(world.run_until(2_000, |w| w.begun.contains("run-5")));
+    recovers(&mut world);
+}
+
 /// The same with machines of cancelled tasks that hang meanwhile and go on within their lease, or
 /// after it.
 #[test]
--- a/src/engine/tests/world.rs
+++ b/src/engine/tests/world.rs
@@ -66,6 +66,8 @@
     /// Calls and watches' answers of these nodes take this much longer, ms.
     pub slow_calls: BTreeMap<usize, Ms>,
     pub slow_watch: BTreeMap<usize, Ms>,
+    /// The state service lists no work and no rounds.
+    pub no_records: bool,
 }
 
 #[derive(Default)]
@@ -296,6 +298,12 @@
         self.cancelled.insert(id.into(), self.now);
     }
 
+    /// The node that confirmed a cancellation tells another one.
+    pub fn tell_of_cancellation(&mut self, node: usize, id: &str) {
+        let command = Command::Cancelled(id.into());
+        self.step(node, self.nodes[node].epoch, Some(command));
+    }
+
     fn put(&mut self, key: &str, value: rmpv::Value) {
         let txn = ws::Txn::default().put(key, value);
         self.commit(&txn).unwrap();
@@ -634,6 +642,9 @@
 
     fn serve_store(&mut self, node: usize, epoch: u64, op: u64, call: &StoreCall) {
         let refused = self.faults.store_down || self.faults.store_refuses.contains(&node);
+        let records = |prefix: &str| prefix == records::WORK || prefix == records::ROUNDS;
+        let unlisted = matches!(call, StoreCall::List { prefix, .. } if records(prefix));
+        let refused = refused || (unlisted && self.faults.no_records);
         if let StoreCall::Commit(txn) = call
             && !refused
             && let Some(late) = self.lateness(txn)
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -22,6 +22,7 @@
 use umbervale::http::{Answer, HttpClient};
 use umbervale::model::Token;
 use umbervale::node::Node;
+use umbervale::peer::{Message, read_frame, write_frame};
 use umbervale::settings::Settings;
 use umbervale::wire::worker::{Elsewhere, Orders, Report};
 use umbervale::wire::{decode, encode, store as ws};
@@ -232,6 +233,11 @@
 }
 
 async fn node() -> (Client, Arc<Standin>) {
+    node_with("").await
+}
+
+/// With more settings before the first table.
+async fn node_with(peers: &str) -> (Client, Arc<Standin>) {
     let standin = Arc::new(Standin::default());
     let state = serve(
         Router::new()
@@ -256,6 +262,7 @@
 site = "east"
 front = "127.0.0.1:0"
 back = "127.0.0.1:0"
+{peers}
 [services]
 cloud = "{cloud}"
 state = "{state}"
@@ -562,3 +569,33 @@
         .await;
     assert_eq!(status, 201);
 }
+
+/// A leader that the state service refuses hears of a cancellation from the node that confirms it.
+#[tokio::test]
+async fn peers_are_told_of_a_cancellation() {
+    let peer = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = peer.local_addr().unwrap();
+    let peers = format!("[[peers]]\nnode_name = \"n1\"\nsite = \"west\"\naddr = \"{addr}\"");
+    let (client, _standin) = node_with(&peers).await;
+    let body = submission(|_| {});
+    assert_eq!(
+        client
+            .status(Method::POST, "/submissions", Some(body))
+            .await,
+        201
+    );
+    let path = "/submissions/run-000412/cancel";
+    assert_eq!(client.status(Method::POST, path, None).await, 200);
+    let heard = async {
+        let (mut stream, _) = peer.accept().await.unwrap();
+        loop {
+            let said = read_frame(&mut stream).await.unwrap();
+            write_frame(&mut stream, &Message::Nothing).await.unwrap();
+            if let Message::Cancelled { job } = said {
+                return job;
+            }
+        }
+    };
+    let heard = tokio::time::timeout(Duration::from_secs(20), heard).await;
+    assert_eq!(heard.unwrap(), "run-000412");
+}
