Tests: rounds of cancelled jobs, leaders' conditions, a deputy's grace without the cloud

The world now fails a round that names a job whose cancellation is durable, and any commit of an engine without the condition on the leader's key. With the cloud up, a deputy that kept its workers too long went unnoticed, since the leader had the silent machines returned; with it down, doubling the deputy's grace fails the test.

--- a/src/engine/tests/meetings.rs
+++ b/src/engine/tests/meetings.rs
@@ -171,6 +171,8 @@
         lead_from_the_east(&mut world);
         world.faults.zones_cut = true;
         world.faults.store_refuses.insert(1);
+        // Else the leader has the silent machines returned by then.
+        world.faults.cloud_down = true;
         world.run(wait);
         world.cancel("run-1");
         world.run(70_000);
@@ -438,6 +440,22 @@
     }
 }
 
+/// Guards against starts after a confirmed cancellation: it is durable just before the round is.
+#[test]
+fn a_cancellation_that_meets_a_round_makes_it_fail() {
+    for after in (0..120).step_by(7) {
+        let mut world = world_of_two_services();
+        world.cancel("run-1");
+        world.run(12_000);
+        world.faults.store_delay = 60;
+        world.submit(quick("run-3", Kind::Array, 2));
+        world.run(after);
+        world.cancel("run-3");
+        recovers(&mut world);
+        assert_eq!(world.running("run-3"), 0);
+    }
+}
+
 /// Guards against a job called both done and cancelled: called off at every moment about the end
 /// of its last task.
 #[test]
--- a/src/engine/tests/world.rs
+++ b/src/engine/tests/world.rs
@@ -645,6 +645,10 @@
         let records = |prefix: &str| prefix == records::WORK || prefix == records::ROUNDS;
         let unlisted = matches!(call, StoreCall::List { prefix, .. } if records(prefix));
         let refused = refused || (unlisted && self.faults.no_records);
+        if let StoreCall::Commit(txn) = call {
+            let fenced = txn.conditions.iter().any(|c| c.key == records::LEAD);
+            assert!(fenced, "no condition on the leader's key: {txn:?}");
+        }
         if let StoreCall::Commit(txn) = call
             && !refused
             && let Some(late) = self.lateness(txn)
@@ -791,7 +795,7 @@
         if !failed.is_empty() {
             return Err(StoreError::Conflict(failed));
         }
-        self.check_finals(txn);
+        self.check_writes(txn);
         self.store.revision += 1;
         let revision = self.store.revision;
         for write in &txn.writes {
@@ -818,12 +822,22 @@
         Ok(StoreReply::Committed { revision })
     }
 
-    /// A job is called done after its tasks are, and nothing else after that.
-    fn check_finals(&mut self, txn: &ws::Txn) {
+    /// A job is called done after its tasks are, and nothing else after that; no round is written
+    /// with a job whose cancellation is durable.
+    fn check_writes(&mut self, txn: &ws::Txn) {
         for write in &txn.writes {
             let ws::Write::Put { put, value, .. } = write else {
                 continue;
             };
+            let round = put.starts_with(records::ROUNDS);
+            let round = round.then(|| records::read::<records::RoundRecord>(value.clone()));
+            for (id, ..) in round.flatten().into_iter().flat_map(|round| round.starts) {
+                if self.cancelled.contains_key(&id) {
+                    let now = self.now;
+                    self.broken
+                        .push(format!("{now}: a round with cancelled {id}"));
+                }
+            }
             let Some(id) = put.strip_prefix("final/") else {
                 continue;
             };
