--- a/tests/http.rs
+++ b/tests/http.rs
@@ -40,6 +40,8 @@
     kv: Mutex<Kv>,
     changed: Notify,
     down: AtomicBool,
+    /// The leader writes a job's end just before its live record is read.
+    ends: AtomicBool,
 }
 
 type Shared = State<Arc<Standin>>;
@@ -59,7 +61,16 @@
     if s.down.load(Ordering::Relaxed) {
         return (StatusCode::SERVICE_UNAVAILABLE, Vec::new());
     }
-    let kv = s.kv.lock().unwrap();
+    let mut kv = s.kv.lock().unwrap();
+    if s.ends.load(Ordering::Relaxed)
+        && let Some(id) = key.strip_prefix("live/job/")
+        && kv.keys.remove(&key).is_some()
+    {
+        kv.revision += 1;
+        let last = map(vec![("state", "done".into()), ("tasks", 3.into())]);
+        let last = (rmp_serde::from_slice(&last).unwrap(), kv.revision);
+        kv.keys.insert(format!("final/{id}"), last);
+    }
     match kv.keys.get(&key) {
         Some((value, version)) => {
             let item = ws::Item {
@@ -599,3 +610,26 @@
     let heard = tokio::time::timeout(Duration::from_secs(20), heard).await;
     assert_eq!(heard.unwrap(), "run-000412");
 }
+
+/// Guards against a job that is in neither place where it is looked for, because its end is written
+/// between the two reads: a question, a repeated submission and a cancellation meet it.
+#[tokio::test]
+async fn a_job_that_ends_while_it_is_asked_about_is_done() {
+    for question in ["poll", "repeat", "cancel"] {
+        let (client, standin) = node().await;
+        let post = |body| client.status(Method::POST, "/submissions", Some(body));
+        assert_eq!(post(submission(|_| {})).await, 201);
+        standin.ends.store(true, Ordering::Relaxed);
+        let path = "/submissions/run-000412";
+        let status = match question {
+            "poll" => client.status(Method::GET, path, None).await,
+            "repeat" => post(submission(|_| {})).await,
+            _ => {
+                let cancel = format!("{path}/cancel");
+                client.status(Method::POST, &cancel, None).await
+            }
+        };
+        assert_eq!(status, 200, "{question}");
+        assert_eq!(client.job_state(path).await, "done", "{question}");
+    }
+}
