--- a/src/engine/tests/meetings.rs
+++ b/src/engine/tests/meetings.rs
@@ -117,6 +117,37 @@
     }
 }
 
+/// Guards against starts of a leader in doubt: its round is written, its machine reports only when
+/// the state service has refused the leader for longer than its lease, and the job is cancelled.
+#[test]
+fn a_leader_in_doubt_sends_no_start_that_it_has_written() {
+    let mut world = world_of_two_services();
+    world.cancel("run-1");
+    assert!(world.run_until(12_000, |w| w.running("run-1") == 0));
+    world.run(7_000);
+    let leader = world.leader().unwrap();
+    let machines: Vec<String> = world.workers.keys().cloned().collect();
+    world.faults.cut.extend(machines);
+    let rounds = world.keys("rounds/");
+    world.submit(quick("run-3", Kind::Array, 1));
+    world.run(500);
+    assert_eq!(
+        world.keys("rounds/"),
+        rounds + 1,
+        "written, and not yet sent"
+    );
+    world.faults.store_refuses.insert(leader);
+    world.faults.no_peers.insert(leader);
+    world.run(k::LEASE_TTL_MS + 100);
+    world.cancel("run-3");
+    world.faults.cut.clear();
+    all_report_to(&mut world, leader);
+    // The second report shows that the machine hears.
+    world.run(4_000);
+    assert!(!world.begun.contains("run-3"));
+    recovers(&mut world);
+}
+
 /// Guards against one job whose record has changed unheard failing everybody's rounds.
 #[test]
 fn a_job_changed_unheard_keeps_no_other_from_its_round() {
