--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -150,12 +150,15 @@
         finals.insert(id.to_owned(), (state, tasks));
     }
 
-    async fn status(&self, id: &str, known: &Known) -> Option<JobStatus> {
+    async fn status(&self, id: &str, known: &Known) -> Result<Option<JobStatus>, StoreError> {
         let (state, done, running) = match known {
-            Known::Never => return None,
+            Known::Never => return Ok(None),
             Known::Final(state @ JobState::Done, tasks) => (*state, *tasks, 0),
             Known::Final(state, _) => (*state, 0, 0),
             Known::Unreadable { .. } => (JobState::Queued, 0, 0),
+            Known::Open { record, .. } if record.waits() => {
+                (self.step_state(id, record.job.tasks).await?, 0, 0)
+            }
             Known::Open { .. } => {
                 let (done, running) = self.counts(id).await;
                 let state = if running > 0 {
@@ -166,12 +169,36 @@
                 (state, done, running)
             }
         };
-        Some(JobStatus {
+        Ok(Some(JobStatus {
             id: id.into(),
             state,
             done: Some(done),
             running: Some(running),
-        })
+        }))
+    }
+
+    /// The state of a job whose record says that it waits for others: cancelled if one of them is,
+    /// by changes read after the question came.
+    async fn step_state(&self, id: &str, tasks: u64) -> Result<JobState, StoreError> {
+        let ask = |reply| Command::Step {
+            job: id.into(),
+            reply,
+        };
+        match self.commands.ask(ask).await {
+            Some(Reply::Step(Some(state))) => {
+                if state == JobState::Cancelled {
+                    self.remember(id, state, tasks);
+                }
+                Ok(state)
+            }
+            // Since its record was read it has begun, or is over.
+            Some(Reply::Step(None)) => match self.look_up(id).await? {
+                Known::Open { record, .. } if !record.waits() => Ok(JobState::Queued),
+                Known::Final(state, _) => Ok(state),
+                _ => Err(StoreError::Refused("changing".into())),
+            },
+            _ => Err(StoreError::Refused("changes can't be read".into())),
+        }
     }
 
     /// Finished and running tasks, for display: from this node if it leads, else from the
@@ -229,44 +256,45 @@
         if let Err(why) = job.check() {
             return self.malformed(body, &why).await;
         }
+        let record = JobRecord::new(job, wall_ms());
+        let (job, id) = (&record.job, &record.job.id);
+        let value = engine::job_value(&record);
+        if engine::json_size(&value) + k::RECORD_SPARE > self.settings.value_max() {
+            let why = "models and awaits: too long together";
+            return self.malformed(body, why).await;
+        }
         let Some(types) = self.view.borrow().types.clone() else {
             return Ok(unavailable("machine types are not known yet"));
         };
-        if let Err(why) = can_run(&job, &self.settings, &types) {
+        let refusal = match can_run(job, &self.settings, &types) {
+            Err(why) => Some(why),
+            Ok(()) => self.never_accepted(job).await?,
+        };
+        if let Some(why) = refusal {
             // A job that was accepted stays accepted, whatever its repetition says.
-            return match self.look_up(&job.id).await? {
+            return match self.look_up(id).await? {
                 Known::Never => Ok(refuse(StatusCode::UNPROCESSABLE_ENTITY, &why)),
-                known => Ok(self.accepted(&job.id, &known).await),
+                known => self.accepted(id, &known).await,
             };
         }
-        if let Some((state, tasks)) = self.remembered(&job.id) {
-            return Ok(self.accepted(&job.id, &Known::Final(state, tasks)).await);
+        if let Some((state, tasks)) = self.remembered(id) {
+            return self.accepted(id, &Known::Final(state, tasks)).await;
         }
-        let (live, last) = (engine::job_key(&job.id), engine::final_key(&job.id));
-        let id = job.id.clone();
-        let record = JobRecord {
-            job,
-            at_ms: wall_ms(),
-            cancelled: false,
-        };
-        let txn = Txn::default()
-            .when(&live, 0)
-            .when(last, 0)
-            .put(live, engine::job_value(&record));
+        let (live, last) = (engine::job_key(id), engine::final_key(id));
+        let txn = Txn::default().when(&live, 0).when(last, 0).put(live, value);
         match self.call(StoreCall::Commit(txn)).await {
             Ok(_) => {
-                let state = JobState::Queued;
                 let status = JobStatus {
-                    id,
-                    state,
+                    id: id.clone(),
+                    state: JobState::Queued,
                     done: None,
                     running: None,
                 };
                 Ok(answer(StatusCode::CREATED, &status))
             }
             Err(StoreError::Conflict(_)) => {
-                let known = self.look_up(&id).await?;
-                Ok(self.accepted(&id, &known).await)
+                let known = self.look_up(id).await?;
+                self.accepted(id, &known).await
             }
             Err(e) => Err(e),
         }
@@ -284,23 +312,57 @@
         {
             match self.look_up(&named.uid).await? {
                 Known::Never => {}
-                known => return Ok(self.accepted(&named.uid, &known).await),
+                known => return self.accepted(&named.uid, &known).await,
             }
         }
         Ok(refuse(StatusCode::BAD_REQUEST, why))
     }
 
-    async fn accepted(&self, id: &str, known: &Known) -> Answer {
-        match self.status(id, known).await {
+    async fn accepted(&self, id: &str, known: &Known) -> Result<Answer, StoreError> {
+        Ok(match self.status(id, known).await? {
             Some(status) => answer(StatusCode::OK, &status),
             // It was there a moment ago and a read missed it: ask again.
             None => unavailable("changing"),
+        })
+    }
+
+    /// Why a job can't wait for what it awaits, if it names itself or one never accepted. One that
+    /// was accepted stays so: what the engine knows needs no fresh read.
+    async fn never_accepted(&self, job: &user::Job) -> Result<Option<String>, StoreError> {
+        if job.awaits.contains(&job.id) {
+            return Ok(Some("awaits: names the job itself".into()));
+        }
+        if job.awaits.is_empty() {
+            return Ok(None);
         }
+        let jobs: Vec<JobId> = job.awaits.iter().map(|id| (&**id).into()).collect();
+        let named = |reply| Command::Named {
+            jobs: jobs.clone(),
+            reply,
+        };
+        let unknown = match self.commands.ask(named).await {
+            Some(Reply::NotKnown(unknown)) => unknown,
+            _ => jobs.clone(),
+        };
+        for id in unknown {
+            if !self.was_accepted(&id.0).await? {
+                return Ok(Some(format!("awaits: {id} was never accepted")));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Most that the engine does not know are over: their final record is looked for first, and
+    /// again after the live one, from which a job moves there.
+    async fn was_accepted(&self, id: &str) -> Result<bool, StoreError> {
+        let over =
+            self.remembered(id).is_some() || self.get(engine::final_key(id)).await?.is_some();
+        Ok(over || !matches!(self.look_up(id).await?, Known::Never))
     }
 
     async fn poll(&self, id: &str) -> Result<Answer, StoreError> {
         let known = self.look_up(id).await?;
-        Ok(match self.status(id, &known).await {
+        Ok(match self.status(id, &known).await? {
             Some(status) => answer(StatusCode::OK, &status),
             None => refuse(StatusCode::NOT_FOUND, "no such job"),
         })
@@ -333,7 +395,7 @@
                 Known::Open { record, version } => (Some(record), version),
                 Known::Unreadable { version } => (None, version),
                 known => {
-                    return Ok(match self.status(id, &known).await {
+                    return Ok(match self.status(id, &known).await? {
                         Some(status) => answer(StatusCode::OK, &status),
                         None => refuse(StatusCode::NOT_FOUND, "no such job"),
                     });
@@ -348,10 +410,7 @@
             let txn = Txn::default().when(&live, version);
             let txn = match record {
                 Some(record) => {
-                    let record = JobRecord {
-                        cancelled: true,
-                        ..*record
-                    };
+                    let record = record.cancelled();
                     txn.put(live, engine::job_value(&record))
                 }
                 // Nothing of a job whose record can't be read is ever started.
@@ -363,7 +422,7 @@
                     self.remember(id, JobState::Cancelled, tasks);
                     self.tell_of_cancellation(id);
                     let known = Known::Final(JobState::Cancelled, tasks);
-                    return Ok(self.accepted(id, &known).await);
+                    return self.accepted(id, &known).await;
                 }
                 Err(StoreError::Conflict(_)) => {}
                 Err(e) => return Err(e),
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -26,6 +26,8 @@
 /// Bytes of an answer of the state service or cloud: lists reach 512 KiB, and a watch has no
 /// stated limit, so a few times that; more would endanger the process's memory.
 pub const ANSWER_MAX: usize = 4 * 1024 * 1024;
+/// Bytes of a job's record kept free when it is accepted: later ones tell when it could begin.
+pub const RECORD_SPARE: usize = 64;
 /// Bytes of a state-service listing page come to 512 KiB at most; this many items keep pages
 /// small enough for the process's memory.
 pub const LIST_PAGE: u64 = 200;
@@ -97,6 +99,12 @@
 pub const RATE_SHARE: f64 = 0.6;
 /// Seconds' worth of calls that the cloud takes at once, by the protocol.
 pub const CLOUD_BURST_S: f64 = 2.0;
+/// Beside that, share of the changes a second that each node keeps for its users, and for how many
+/// seconds' worth at once: a submission takes one, a cancellation two. (Where few changes a second
+/// are allowed, one submission in eight was refused for want of a token that a leader's rounds and
+/// ends had taken.)
+pub const USER_WRITE_SHARE: f64 = 0.1;
+pub const USER_WRITE_BURST_S: f64 = 2.0;
 /// Share kept back for lease renewals and leader's work when users flood a node, and for returns
 /// among the calls to the cloud.
 pub const RATE_RESERVE: f64 = 0.25;
@@ -142,8 +150,11 @@
 /// Returned machines remembered, so that late reports and lagging lists do not bring them back:
 /// a list is late by half a minute, a report by minutes, and a day returns a few thousand.
 pub const GONE_REMEMBERED: usize = 8192;
-/// Tasks a record of finished tasks covers: as hexadecimal text 2 KiB, far below the least
-/// sensible value limit.
+/// Tasks a record of finished tasks covers: as hexadecimal text 1 KiB, half of the least value
+/// limit that the settings may give.
+pub const DONE_PART: u32 = 4096;
+/// Tasks such a record covered in the version before pipelines. For the upgrade: once no array is
+/// left that it began, nothing reads it.
 pub const DONE_CHUNK: u32 = 8192;
 /// Tasks one round may start, in as many records as that takes: with its conditions it stays well
 /// below the 64 KiB of a transaction. No larger gang can be placed.
@@ -151,12 +162,21 @@
 /// A job whose record was found changed when its round was written is left out of rounds for this
 /// long, ms: the watch usually tells of the change within some ms, and at most a second later.
 pub const CHANGED_PAUSE_MS: u64 = 500;
+/// Reads at once of how jobs ended that others await: few, since a new leader may need many.
+pub const END_READS: usize = 8;
+/// Between two reads of the newest changes on behalf of users who ask about waiting jobs, ms: one
+/// serves all that asked before it.
+pub const REFRESH_EVERY_MS: u64 = 50;
+/// How long such a question waits in the engine, ms: below [`USER_TIMEOUT`].
+pub const ASKED_MOST_MS: u64 = 1_200;
 /// Unplaced tasks of one job that are counted: more than one rental could ever serve.
 pub const UNPLACED_MOST: u32 = 400;
 /// Between two placing passes, ms: submissions of a burst share a round.
 pub const PLACE_EVERY_MS: u64 = 100;
-/// Between two writes of partial progress of arrays, ms; ends of jobs do not wait.
-pub const ENDS_EVERY_MS: u64 = 500;
+/// Between two writes of partial progress of arrays and removals of records, ms, ends of jobs do not
+/// wait: at least so long, and where few changes a second are allowed, the time in which so many are.
+pub const PROGRESS_EVERY_MS: u64 = 500;
+pub const PROGRESS_EVERY_CHANGES: f64 = 30.0;
 /// Between two passes over open rounds and over the fleet, ms.
 pub const UPKEEP_EVERY_MS: u64 = 1000;
 /// Between two passes that rent, while more is wanted than one pass has asked for, ms: the calls
--- a/src/engine/ends.rs
+++ b/src/engine/ends.rs
@@ -1,6 +1,7 @@
 //! Writing what has ended: jobs that are done, progress of arrays, jobs that are cancelled and
 //! gone, and the removal of records nobody needs any more. Batched, one transaction at a time.
 
+use super::pipelines::write_step;
 use super::records::{self, FinalRecord, LEAD, WorkRecord};
 use super::{Engine, Op, Retry, Role};
 use crate::constants as k;
@@ -16,6 +17,8 @@
     over: BTreeSet<JobId>,
     /// Arrays with completed tasks that are not on record.
     progress: BTreeSet<JobId>,
+    /// Waiting jobs that may start, or are cancelled with one that they need.
+    steps: BTreeSet<JobId>,
     removals: VecDeque<String>,
     retry: Retry,
     progress_at: Ms,
@@ -26,7 +29,9 @@
 pub(super) struct Batch {
     /// With the records of progress that are of no use any more.
     over: Vec<(JobId, Vec<String>)>,
-    progress: Vec<(JobId, Vec<u32>)>,
+    /// Tasks, and the records that cover them.
+    progress: Vec<(JobId, Vec<u32>, Vec<String>)>,
+    steps: Vec<JobId>,
     removals: Vec<String>,
 }
 
@@ -40,6 +45,10 @@
         set.insert(job.clone());
     }
 
+    pub fn note_step(&mut self, job: &JobId) {
+        self.steps.insert(job.clone());
+    }
+
     pub fn remove(&mut self, key: String) {
         self.removals.push_back(key);
     }
@@ -83,37 +92,49 @@
                 _ => continue,
             };
             // Named now: when the answer comes, the watch may have removed the job already.
-            let chunks: BTreeSet<u32> = job.written.iter().map(|i| i / k::DONE_CHUNK).collect();
-            let keys = chunks
-                .into_iter()
-                .map(|chunk| records::work_key(&id, chunk));
+            let keys = job.progress.keys().cloned();
             batch.over.push((id.clone(), keys.collect()));
         }
+        while txn.writes.len() + 2 <= ops {
+            let Some(id) = ends.steps.pop_first() else {
+                break;
+            };
+            let writes = txn.writes.len();
+            txn = write_step(&self.pipelines, &id, self.wall, txn);
+            if txn.writes.len() > writes {
+                batch.steps.push(id);
+            }
+        }
         if now >= ends.progress_at {
             while let Some(id) = ends.progress.pop_first() {
                 let Some(job) = self.jobs.get(&id).filter(|job| job.is_open()) else {
                     continue;
                 };
-                let news: Vec<u32> = job
-                    .done
-                    .iter()
-                    .filter(|i| !job.written.contains(*i))
-                    .collect();
-                let chunks: BTreeSet<u32> = news.iter().map(|i| i / k::DONE_CHUNK).collect();
-                if txn.writes.len() + chunks.len() > ops {
-                    ends.progress.insert(id);
-                    break;
-                }
-                for chunk in chunks {
+                let is_news = |i: &u32| !job.written.contains(*i);
+                let part = |i: u32| i / k::DONE_PART;
+                let parts: BTreeSet<u32> = job.done.iter().filter(is_news).map(part).collect();
+                // What does not fit is written the next time.
+                let now: BTreeSet<u32> =
+                    parts.iter().take(ops - txn.writes.len()).copied().collect();
+                let rest = now.len() < parts.len();
+                let mut keys = Vec::new();
+                for part in &now {
                     let record = WorkRecord {
-                        done: job.done.chunk_text(chunk),
+                        done: job.done.part_text(*part),
                     };
                     // An older write that is carried out late must not undo this one.
-                    let version = job.progress_versions.get(&chunk).copied().unwrap_or(0);
-                    let key = records::work_key(&id, chunk);
-                    txn = txn.when(&key, version).put(key, records::value(&record));
+                    let key = records::work_key(&id, job.spec.tasks, *part);
+                    let version = job.progress.get(&key).copied().unwrap_or(0);
+                    txn = txn.when(&key, version).put(&key, records::value(&record));
+                    keys.push(key);
+                }
+                let news = job.done.iter().filter(is_news);
+                let news = news.filter(|i| now.contains(&part(*i))).collect();
+                batch.progress.push((id.clone(), news, keys));
+                if rest {
+                    ends.progress.insert(id);
+                    break;
                 }
-                batch.progress.push((id, news));
             }
             while txn.writes.len() < ops {
                 let Some(key) = ends.removals.pop_front() else {
@@ -122,7 +143,9 @@
                 txn = txn.delete(&key);
                 batch.removals.push(key);
             }
-            ends.progress_at = now + k::ENDS_EVERY_MS;
+            let changes =
+                1000.0 * k::PROGRESS_EVERY_CHANGES / self.settings.cluster.state.write_rps;
+            ends.progress_at = now + k::PROGRESS_EVERY_MS.max(changes as u64);
         }
         if txn.writes.is_empty() {
             return;
@@ -137,12 +160,15 @@
             if let Role::Leader(leader) = &mut self.role {
                 leader.ends.retry.worked(now);
             }
-            for (id, tasks) in batch.progress {
+            for id in batch.steps {
+                self.on_step_written(&id, revision);
+            }
+            for (id, tasks, keys) in batch.progress {
                 if let Some(job) = self.jobs.get_mut(&id) {
+                    let keys = keys.into_iter().map(|key| (key, revision));
+                    job.progress.extend(keys);
                     for index in tasks {
                         job.written.insert(index);
-                        let chunk = index / k::DONE_CHUNK;
-                        job.progress_versions.insert(chunk, revision);
                     }
                 }
             }
@@ -162,9 +188,9 @@
             Err(StoreError::Bad(why)) => tracing::error!("ends refused: {why}"),
             // A write without an answer was carried out after all.
             Err(StoreError::Conflict(failed)) => {
-                for (job, chunk) in failed.iter().filter_map(|key| records::work_of_key(key)) {
-                    let key = records::work_key(&job, chunk);
-                    self.store(Op::Progress { job, chunk }, StoreCall::Get { key });
+                for key in failed.iter().filter(|key| key.starts_with(records::WORK)) {
+                    let key = key.clone();
+                    self.store(Op::Progress { key: key.clone() }, StoreCall::Get { key });
                 }
             }
             _ => {}
@@ -181,20 +207,17 @@
         leader
             .ends
             .progress
-            .extend(batch.progress.into_iter().map(|(id, _)| id));
+            .extend(batch.progress.into_iter().map(|(id, ..)| id));
+        leader.ends.steps.extend(batch.steps);
         leader.ends.removals.extend(batch.removals);
     }
 
-    pub(super) fn on_progress_read(
-        &mut self,
-        job: &JobId,
-        chunk: u32,
-        result: Result<StoreReply, StoreError>,
-    ) {
+    pub(super) fn on_progress_read(&mut self, key: &str, result: Result<StoreReply, StoreError>) {
+        let job = records::work_of_key(key).and_then(|(id, _)| self.jobs.get_mut(&id));
         // Unread, it fails the next write as well and is read again.
-        if let (Ok(StoreReply::Got(item)), Some(job)) = (result, self.jobs.get_mut(job)) {
+        if let (Ok(StoreReply::Got(item)), Some(job)) = (result, job) {
             let version = item.map_or(0, |item| item.version);
-            job.progress_versions.insert(chunk, version);
+            job.progress.insert(key.to_owned(), version);
         }
     }
 
@@ -203,9 +226,14 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        if let Phase::Done { written } = &mut job.phase {
-            *written = true;
-        }
+        let state = match &mut job.phase {
+            Phase::Done { written } => {
+                *written = true;
+                JobState::Done
+            }
+            _ => JobState::Cancelled,
+        };
+        self.pipelines.note_end(id, state);
         tracing::debug!(job = %id, phase = ?job.phase, "job is over");
         if job.live.is_empty() {
             self.jobs.remove(id);
--- a/src/engine/leadership.rs
+++ b/src/engine/leadership.rs
@@ -202,8 +202,7 @@
         self.term_heard = self.term_heard.max(term);
         self.forget_placements();
         // Outcomes of an earlier office's calls mean nothing to this one.
-        self.ops
-            .retain(|_, op| matches!(op, Op::Types | Op::ListLive { .. } | Op::Watch { .. }));
+        self.ops.retain(|_, op| !op.is_leaders());
         self.role = Role::Leader(Box::new(Leader {
             term,
             version: revision,
@@ -274,7 +273,11 @@
                 job.phase,
                 job.seen,
             );
-            *job = fresh;
+            *job = crate::model::Job {
+                ready: job.ready,
+                needed: job.needed,
+                ..fresh
+            };
         }
         self.jobs
             .retain(|_, job| !matches!(job.phase, crate::model::Phase::Done { written: true }));
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -8,6 +8,7 @@
 mod ends;
 mod leadership;
 mod machines;
+mod pipelines;
 mod provisioning;
 mod records;
 mod recovery;
@@ -18,7 +19,8 @@
 mod watching;
 
 pub use records::{
-    FinalRecord, JobRecord, final_key, final_value, job_key, job_value, read_final, read_job,
+    FinalRecord, JobRecord, final_key, final_value, job_key, job_value, json_size, read_final,
+    read_job,
 };
 
 use crate::cloud::{CloudCall, CloudError, CloudReply};
@@ -28,6 +30,7 @@
 use crate::recent::Recent;
 use crate::settings::{Settings, Timing};
 use crate::store::{StoreCall, StoreError, StoreReply};
+use crate::wire::user::JobState;
 use crate::wire::worker::{DirectOrders, Orders, Report};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -58,6 +61,10 @@
     Announced(Announcement),
     /// A job's cancellation is durable: its user has been or will be told.
     Cancelled(JobId),
+    /// How a job stands that waits for others, by news newer than the question.
+    Step { job: JobId, reply: ReplyId },
+    /// Which of these jobs are not known here to have been accepted.
+    Named { jobs: Vec<JobId>, reply: ReplyId },
 }
 
 /// The answer to a report or a count.
@@ -72,6 +79,9 @@
         done: u64,
         running: u64,
     },
+    /// Queued or cancelled; none if the job waits no longer.
+    Step(Option<JobState>),
+    NotKnown(Vec<JobId>),
 }
 
 #[derive(Debug, PartialEq)]
@@ -136,14 +146,36 @@
     Ends(ends::Batch),
     /// A record of progress whose version is not known any more.
     Progress {
+        key: String,
+    },
+    /// How a job ended that others await.
+    End {
         job: JobId,
-        chunk: u32,
+    },
+    /// Changes since that revision, for those who ask.
+    Refresh {
+        sent: Ms,
+        after: u64,
     },
     Machines,
     Rent(provisioning::Offer),
     Return(Vec<MachineId>),
 }
 
+impl Op {
+    /// Whether only the leader of the time makes such a call.
+    fn is_leaders(&self) -> bool {
+        !matches!(
+            self,
+            Op::Types
+                | Op::ListLive { .. }
+                | Op::Watch { .. }
+                | Op::End { .. }
+                | Op::Refresh { .. }
+        )
+    }
+}
+
 /// The holder of the leader's key, as last seen in the state service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Holder {
@@ -241,6 +273,7 @@
     fresh_at: Option<Ms>,
     holder: Option<Holder>,
     jobs: BTreeMap<JobId, Job>,
+    pipelines: pipelines::Pipelines,
     arrivals: crate::fleet::Arrivals,
     /// Reports whose answers wait for the end of the step, or for a round that is being written.
     held: Vec<reports::Held>,
@@ -276,6 +309,7 @@
             fresh_at: None,
             holder: None,
             jobs: BTreeMap::new(),
+            pipelines: pipelines::Pipelines::default(),
             arrivals: crate::fleet::Arrivals::default(),
             held: Vec::new(),
             unreadable: BTreeSet::new(),
@@ -305,6 +339,8 @@
                 Command::CloudDone { op, result } => self.on_cloud(op, result),
                 Command::Announced(announcement) => self.on_announced(announcement),
                 Command::Cancelled(job) => self.on_cancelled(&job),
+                Command::Step { job, reply } => self.on_asked(job, reply),
+                Command::Named { jobs, reply } => self.on_named(jobs, reply),
             }
         }
         self.on_time();
@@ -423,7 +459,9 @@
             Some(Op::Load) => self.on_loaded(result),
             Some(Op::Round) => self.on_round_written(result),
             Some(Op::Ends(batch)) => self.on_ends_written(batch, result),
-            Some(Op::Progress { job, chunk }) => self.on_progress_read(&job, chunk, result),
+            Some(Op::Progress { key }) => self.on_progress_read(&key, result),
+            Some(Op::End { job }) => self.on_end_read(&job, result),
+            Some(Op::Refresh { sent, after }) => self.on_refreshed(sent, after, result),
             // The remaining kinds are the cloud's, or nobody waits.
             _ => {}
         }
@@ -479,6 +517,7 @@
             self.cloud(Op::Types, CloudCall::Types);
         }
         self.watch_when_due();
+        self.keep_pipelines();
         self.lead_when_due();
         self.load_when_due();
         if self.leader().is_some_and(|l| l.loading.is_none()) {
--- a/src/engine/records.rs
+++ b/src/engine/records.rs
@@ -4,11 +4,13 @@
 //! | --- | --- | --- |
 //! | `live/lead` | holder and term, under the holder's lease | a candidate |
 //! | `term` | the highest term ever taken | a candidate |
-//! | `live/job/<id>` | submission, time, cancelled or not | any node; removed by the leader |
+//! | `live/job/<id>` | submission, time, cancelled or not, what it awaits | any node; rewritten when it may start, and removed, by the leader |
 //! | `final/<id>` | how the job ended | any node (cancelled), the leader (done) |
-//! | `work/<id>/<chunk>` | which tasks of an array are done | the leader |
+//! | `work/<id>/0`, `work/<id>/<part>p` | which tasks of an array are done, in parts if it is large | the leader |
+//! | `work/<id>/<chunk>` | the same, of a large array in the larger chunks of the version before pipelines | read only |
 //! | `rounds/<number>`, `rounds/<number>.<part>` | the starts of a round; its undo is to stop each of them | the leader |
 
+use crate::constants::{DONE_CHUNK, DONE_PART};
 use crate::model::JobId;
 use crate::wire;
 use crate::wire::user::{Job, JobState};
@@ -25,11 +27,91 @@
 const FINAL: &str = "final/";
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(try_from = "StoredJob", into = "StoredJob")]
 pub struct JobRecord {
+    /// While it names jobs that it awaits, none of its tasks may start: the leader takes the names
+    /// out once all of them are durably done.
     pub job: Job,
     /// Time of day of the submission, ms.
     pub at_ms: u64,
     pub cancelled: bool,
+    /// Time of day when the last job that it awaited was done, ms.
+    pub ready_ms: Option<u64>,
+}
+
+/// A job's record as it is stored. One that waits for others stands in a field of its own, which
+/// the version before pipelines can't read: it then leaves the job alone, calls it queued and can
+/// cancel it, but never starts it. A cancelled one stands where that version looks.
+#[derive(Clone, Serialize, Deserialize)]
+struct StoredJob {
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    job: Option<Job>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    step: Option<Job>,
+    at_ms: u64,
+    cancelled: bool,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    ready_ms: Option<u64>,
+}
+
+impl From<JobRecord> for StoredJob {
+    fn from(record: JobRecord) -> Self {
+        let waits = record.waits();
+        let job = Some(record.job);
+        let (job, step) = if waits { (None, job) } else { (job, None) };
+        StoredJob {
+            job,
+            step,
+            at_ms: record.at_ms,
+            cancelled: record.cancelled,
+            ready_ms: record.ready_ms,
+        }
+    }
+}
+
+impl TryFrom<StoredJob> for JobRecord {
+    type Error = &'static str;
+
+    fn try_from(stored: StoredJob) -> Result<Self, Self::Error> {
+        Ok(JobRecord {
+            job: stored.job.or(stored.step).ok_or("neither job nor step")?,
+            at_ms: stored.at_ms,
+            cancelled: stored.cancelled,
+            ready_ms: stored.ready_ms,
+        })
+    }
+}
+
+impl JobRecord {
+    pub fn new(job: Job, at_ms: u64) -> Self {
+        JobRecord {
+            job,
+            at_ms,
+            cancelled: false,
+            ready_ms: None,
+        }
+    }
+
+    /// Whether it waits for other jobs.
+    pub fn waits(&self) -> bool {
+        !self.cancelled && !self.job.awaits.is_empty()
+    }
+
+    /// The same job, cancelled. What only placing needs is left out, so that the record of a job
+    /// accepted under larger limits fits under smaller ones.
+    pub fn cancelled(mut self) -> Self {
+        self.cancelled = true;
+        self.job.types = None;
+        self.job.awaits = Vec::new();
+        self
+    }
+
+    /// The same job when all that it awaited is done.
+    pub fn ready(mut self, at_ms: u64) -> Self {
+        self.ready_ms = Some(at_ms);
+        self.job.awaits = Vec::new();
+        self
+    }
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -70,13 +152,23 @@
     format!("{FINAL}{id}")
 }
 
-pub fn work_key(id: &JobId, chunk: u32) -> String {
-    format!("{WORK}{id}/{chunk}")
+/// The record of that part of an array of so many tasks. A small array has one, under the key that
+/// the version before pipelines uses for it as well.
+pub fn work_key(id: &JobId, tasks: u32, part: u32) -> String {
+    match tasks <= DONE_PART {
+        true => format!("{WORK}{id}/{part}"),
+        false => format!("{WORK}{id}/{part}p"),
+    }
 }
 
+/// The job that a record of finished tasks is of, and the first task that it covers.
 pub fn work_of_key(key: &str) -> Option<(JobId, u32)> {
-    let (job, chunk) = key.strip_prefix(WORK)?.rsplit_once('/')?;
-    Some((job.into(), chunk.parse().ok()?))
+    let (job, part) = key.strip_prefix(WORK)?.rsplit_once('/')?;
+    let first = match part.strip_suffix('p') {
+        Some(part) => part.parse::<u32>().ok()?.checked_mul(DONE_PART)?,
+        None => part.parse::<u32>().ok()?.checked_mul(DONE_CHUNK)?,
+    };
+    Some((job.into(), first))
 }
 
 pub fn round_key(number: u64, part: u32) -> String {
@@ -103,6 +195,38 @@
     wire::decode(&wire::encode(&value)).ok()
 }
 
+/// Bytes of a value as JSON, the form in which the state service counts them; at least that many.
+pub fn json_size(value: &Value) -> usize {
+    match value {
+        Value::Nil | Value::Boolean(_) => 5,
+        Value::Integer(n) => n.to_string().len(),
+        // A decimal number takes at most 17 digits, a sign, a point and an exponent.
+        Value::F32(_) | Value::F64(_) => 24,
+        Value::String(text) => {
+            2 + text
+                .as_bytes()
+                .iter()
+                .map(|b| json_bytes(*b))
+                .sum::<usize>()
+        }
+        Value::Array(items) => 2 + items.iter().map(|item| json_size(item) + 1).sum::<usize>(),
+        Value::Map(fields) => {
+            let field = |(key, value): &(Value, Value)| json_size(key) + json_size(value) + 2;
+            2 + fields.iter().map(field).sum::<usize>()
+        }
+        Value::Binary(bytes) | Value::Ext(_, bytes) => 2 * bytes.len(),
+    }
+}
+
+/// A byte of a text as JSON; what some writers escape counts as escaped.
+fn json_bytes(byte: u8) -> usize {
+    match byte {
+        b'"' | b'\\' => 2,
+        0..0x20 | 0x7f.. => 6,
+        _ => 1,
+    }
+}
+
 pub fn job_value(record: &JobRecord) -> Value {
     value(record)
 }
--- a/src/engine/recovery.rs
+++ b/src/engine/recovery.rs
@@ -119,6 +119,7 @@
         if let Some(leader) = self.leader_mut() {
             leader.loading = None;
         }
+        self.pipelines.look_again();
         let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
         for id in ids {
             self.settle_job(&id);
@@ -126,7 +127,7 @@
     }
 
     fn recover_work(&mut self, key: &str, record: WorkRecord, version: u64) -> Option<()> {
-        let (id, chunk) = records::work_of_key(key)?;
+        let (id, first) = records::work_of_key(key)?;
         let Some(job) = self.jobs.get_mut(&id) else {
             // Its job is over; the leader that ended it did not get to this.
             if let Some(leader) = self.leader_mut() {
@@ -134,8 +135,8 @@
             }
             return Some(());
         };
-        job.written.add_chunk(chunk, &record.done, job.spec.tasks)?;
-        job.progress_versions.insert(chunk, version);
+        job.written.add_text(first, &record.done, job.spec.tasks)?;
+        job.progress.insert(key.to_owned(), version);
         let done: Vec<u32> = job.written.iter().collect();
         for index in done {
             job.complete(index);
--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod large;
 mod meetings;
+mod pipelines;
 mod world;
 
 use crate::constants as k;
--- a/src/engine/tests/world.rs
+++ b/src/engine/tests/world.rs
@@ -152,6 +152,8 @@
     rented: u64,
     requests: BTreeMap<String, Vec<String>>,
     replies: BTreeMap<ReplyId, (String, u64)>,
+    /// Answers to what is not a report.
+    answers: BTreeMap<ReplyId, Reply>,
     pub faults: Faults,
     pub jobs: BTreeMap<String, Job>,
     pub cancelled: BTreeMap<String, Ms>,
@@ -175,10 +177,16 @@
     gpus_max: f64,
     /// Items a page of the state service's lists holds: few, so that paging is exercised.
     pub page: usize,
+    /// The state service's limits: changes of a transaction, bytes of a value.
+    pub txn_ops: usize,
+    pub value_max: usize,
+    /// Further settings, after those of the state service.
+    next: &'static str,
 }
 
-fn settings(node: usize, nodes: usize, gpus_max: f64) -> Settings {
+fn settings(node: usize, nodes: usize, gpus_max: f64, next: &str) -> Settings {
     let text = SAMPLE.replace("gpus_max = 8.0", &format!("gpus_max = {gpus_max:?}"));
+    let text = text.replace("txn_ops = 24", &format!("txn_ops = 24\n{next}"));
     let mut s = Settings::parse(&text, "sample").unwrap();
     let zone = |n: usize| if n == 1 { "west" } else { "east" }.to_owned();
     let peer = s.peers[0].clone();
@@ -197,6 +205,11 @@
 
 impl World {
     pub fn new(nodes: usize, gpus_max: f64) -> World {
+        World::with_limits_to_come(nodes, gpus_max, "")
+    }
+
+    /// With `next` for the state service's limits to come.
+    pub fn with_limits_to_come(nodes: usize, gpus_max: f64, next: &'static str) -> World {
         let mut world = World {
             now: 0,
             order: 0,
@@ -207,6 +220,7 @@
             rented: 0,
             requests: BTreeMap::new(),
             replies: BTreeMap::new(),
+            answers: BTreeMap::new(),
             faults: Faults::default(),
             jobs: BTreeMap::new(),
             cancelled: BTreeMap::new(),
@@ -222,9 +236,12 @@
             first_node: None,
             gpus_max,
             page: 5,
+            txn_ops: 24,
+            value_max: 7 * 1024,
+            next,
         };
         for node in 0..nodes {
-            let zone = settings(node, nodes, gpus_max).zone;
+            let zone = settings(node, nodes, gpus_max, next).zone;
             world.nodes.push(Node {
                 engine: None,
                 epoch: 0,
@@ -239,7 +256,8 @@
     }
 
     pub fn start(&mut self, node: usize) {
-        let settings = Arc::new(settings(node, self.nodes.len(), self.gpus_max));
+        let settings = settings(node, self.nodes.len(), self.gpus_max, self.next);
+        let settings = Arc::new(settings);
         let it = &mut self.nodes[node];
         it.epoch += 1;
         it.started = self.now;
@@ -272,11 +290,7 @@
 
     /// Any node's acceptance of a job.
     pub fn submit(&mut self, job: Job) {
-        let record = JobRecord {
-            job: job.clone(),
-            at_ms: self.now,
-            cancelled: false,
-        };
+        let record = JobRecord::new(job.clone(), self.now);
         self.put(&records::job_key(&job.id), records::job_value(&record));
         self.jobs.insert(job.id.clone(), job);
     }
@@ -285,10 +299,7 @@
     pub fn cancel(&mut self, id: &str) {
         let key = records::job_key(id);
         let (value, _, _) = self.store.keys.get(&key).unwrap().clone();
-        let record = JobRecord {
-            cancelled: true,
-            ..records::read_job(value).unwrap()
-        };
+        let record = records::read_job(value).unwrap().cancelled();
         let last = FinalRecord {
             state: JobState::Cancelled,
             tasks: record.job.tasks,
@@ -298,13 +309,41 @@
         self.cancelled.insert(id.into(), self.now);
     }
 
+    /// What a node says of a job that waits for others; none if it can't say in time.
+    pub fn step_state(&mut self, node: usize, id: &str) -> Option<JobState> {
+        self.order += 1;
+        let reply = self.order;
+        let job = id.into();
+        let command = Command::Step { job, reply };
+        self.step(node, self.nodes[node].epoch, Some(command));
+        self.run_until(1_500, |w| w.answers.contains_key(&reply));
+        match self.answers.remove(&reply) {
+            Some(Reply::Step(state)) => state,
+            _ => None,
+        }
+    }
+
+    /// Which of these jobs a node does not know to have been accepted.
+    pub fn not_known(&mut self, node: usize, ids: &[&str]) -> Vec<String> {
+        self.order += 1;
+        let reply = self.order;
+        let jobs = ids.iter().map(|id| (*id).into()).collect();
+        let command = Command::Named { jobs, reply };
+        self.step(node, self.nodes[node].epoch, Some(command));
+        match self.answers.remove(&reply) {
+            Some(Reply::NotKnown(jobs)) => jobs.iter().map(ToString::to_string).collect(),
+            other => panic!("{other:?}"),
+        }
+    }
+
     /// The node that confirmed a cancellation tells another one.
     pub fn tell_of_cancellation(&mut self, node: usize, id: &str) {
         let command = Command::Cancelled(id.into());
         self.step(node, self.nodes[node].epoch, Some(command));
     }
 
-    fn put(&mut self, key: &str, value: rmpv::Value) {
+    /// Puts a record there that somebody else wrote.
+    pub fn put(&mut self, key: &str, value: rmpv::Value) {
         let txn = ws::Txn::default().put(key, value);
         self.commit(&txn).unwrap();
     }
@@ -577,6 +616,7 @@
         match effect {
             Effect::Reply { to, reply } => {
                 let Some((worker, seq)) = self.replies.remove(&to) else {
+                    self.answers.insert(to, reply);
                     return;
                 };
                 if self.reaches(&worker, node) {
@@ -765,17 +805,18 @@
     }
 
     fn commit(&mut self, txn: &ws::Txn) -> Result<StoreReply, StoreError> {
+        let ops = self.txn_ops;
         assert!(
-            txn.writes.len() <= 24 && txn.conditions.len() <= 96,
-            "over the limits"
+            txn.writes.len() <= ops && txn.conditions.len() <= 4 * ops,
+            "over the limits: {txn:?}"
         );
         let now = self.now;
         let size = crate::wire::encode(txn).len();
         assert!(size < 64 * 1024, "a transaction of {size} bytes");
         for write in &txn.writes {
             if let ws::Write::Put { put, value, .. } = write {
-                let size = crate::wire::encode(value).len();
-                assert!(size < 7 * 1024, "{put} takes {size} bytes");
+                let size = records::json_size(value);
+                assert!(size <= self.value_max, "{put} takes {size} bytes");
             }
             let over = |lease: &u64| {
                 let lease = self.store.leases.get(lease);
@@ -1173,6 +1214,12 @@
         if workers.filter(on).count() > 1 {
             self.broken.push(format!("{now}: ran_twice {task}"));
         }
+        for awaited in &self.jobs[id].awaits {
+            if !self.done(awaited) {
+                self.broken
+                    .push(format!("{now}: too_early {task} before {awaited}"));
+            }
+        }
         if let Some(at) = self.cancelled.get(id).filter(|at| now > **at + CANCEL) {
             self.broken
                 .push(format!("{now}: ran_cancelled {task} since {at}"));
--- a/src/engine/watching.rs
+++ b/src/engine/watching.rs
@@ -3,9 +3,10 @@
 use super::records::{self, JOBS, LEAD, LIVE, LeadRecord};
 use super::{Engine, Holder, Op};
 use crate::constants as k;
-use crate::model::{Job, JobId, Ms, Phase, Spec};
+use crate::model::{JobId, Ms, Phase};
 use crate::store::{StoreCall, StoreError, StoreReply};
-use crate::wire::store::Event;
+use crate::wire::store::{Changes, Event};
+use crate::wire::user::JobState;
 use rmpv::Value;
 
 impl Engine {
@@ -75,6 +76,7 @@
         let missing: Vec<JobId> = self
             .jobs
             .keys()
+            .chain(self.pipelines.ids())
             .filter(|id| !self.listed.contains(*id))
             .cloned()
             .collect();
@@ -89,18 +91,7 @@
     pub(super) fn on_watched(&mut self, sent: Ms, result: Result<StoreReply, StoreError>) {
         match result {
             Ok(StoreReply::Changed(changes)) => {
-                self.fresh_at = Some(sent);
-                for event in changes.events {
-                    match event {
-                        Event::Put {
-                            put,
-                            value,
-                            version,
-                        } => self.on_put(&put, value, version),
-                        Event::Delete { delete, version } => self.on_delete(&delete, version),
-                    }
-                }
-                self.revision = Some(changes.revision);
+                self.apply_changes(sent, changes);
                 self.watch.worked(self.now);
             }
             Err(StoreError::TooOld) => {
@@ -117,6 +108,26 @@
         }
     }
 
+    /// Takes in all changes up to a revision. An answer that another one has overtaken tells
+    /// nothing new, and what it tells may be out of date.
+    pub(super) fn apply_changes(&mut self, sent: Ms, changes: Changes) {
+        self.fresh_at = self.fresh_at.max(Some(sent));
+        if self.revision.is_some_and(|known| known >= changes.revision) {
+            return;
+        }
+        for event in changes.events {
+            match event {
+                Event::Put {
+                    put,
+                    value,
+                    version,
+                } => self.on_put(&put, value, version),
+                Event::Delete { delete, version } => self.on_delete(&delete, version),
+            }
+        }
+        self.revision = Some(changes.revision);
+    }
+
     fn on_put(&mut self, key: &str, value: Value, version: u64) {
         if key == LEAD {
             match records::read::<LeadRecord>(value) {
@@ -130,6 +141,7 @@
         } else if let Some(id) = key.strip_prefix(JOBS) {
             let id = JobId::from(id);
             let known = self.jobs.get(&id).map(|j| j.version);
+            let known = known.max(self.pipelines.version(&id));
             if known.is_some_and(|v| v >= version) {
                 return;
             }
@@ -139,15 +151,13 @@
                 }
                 return;
             };
+            if record.waits() {
+                return self.pipelines.put(id, record, version);
+            }
+            self.pipelines.remove(&id);
             match self.jobs.get_mut(&id) {
                 Some(job) => job.version = version,
-                None => {
-                    let spec = Spec::read(&record.job);
-                    tracing::debug!(job = %id, class = %spec.class, tasks = spec.tasks, "job seen");
-                    self.arrivals.note(record.at_ms, &id, &spec);
-                    let job = Job::new(spec, version, record.at_ms, Phase::Open, self.now);
-                    self.jobs.insert(id.clone(), job);
-                }
+                None => self.admit(&id, &record, version),
             }
             if record.cancelled {
                 self.on_cancelled(&id);
@@ -177,12 +187,17 @@
         }
         job.phase = Phase::Cancelled;
         job.stop_all(0, now);
+        self.pipelines.look_again();
         self.send_stops(id);
         self.settle_job(id);
     }
 
     /// A job's record is gone: the leader has written its end.
     fn on_job_removed(&mut self, id: &JobId, version: u64) {
+        if self.pipelines.version(id).is_some_and(|v| v <= version) {
+            self.pipelines.remove(id);
+        }
+        self.pipelines.look_again();
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -197,8 +212,12 @@
         } else if matches!(job.phase, Phase::Done { .. }) {
             job.phase = Phase::Done { written: true };
         }
+        let cancelled = job.phase == Phase::Cancelled;
         if job.live.is_empty() {
             self.jobs.remove(id);
         }
+        if cancelled {
+            self.pipelines.note_end(id, JobState::Cancelled);
+        }
     }
 }
--- a/src/model/job.rs
+++ b/src/model/job.rs
@@ -78,6 +78,11 @@
         }
     }
 
+    /// When it should be complete if it was submitted then, time of day, ms.
+    pub fn due(&self, submitted: u64) -> u64 {
+        submitted.saturating_add(self.deadline_ms.unwrap_or(NO_DEADLINE_MS))
+    }
+
     /// Grace for an orderly stop, s: enough to save.
     pub fn grace_s(&self) -> u64 {
         if self.checkpoint_ms == 0 {
@@ -134,11 +139,17 @@
     pub phase: Phase,
     /// Time of day of its submission, ms; orders jobs across nodes.
     pub submitted: u64,
+    /// Time of day from which it could run, ms: when it was submitted, or when the last job that it
+    /// awaited was done.
+    pub ready: u64,
+    /// The highest priority and the earliest due time of the jobs that need it, directly or through
+    /// others: users set both on the last job of a pipeline only.
+    pub needed: Option<(Priority, u64)>,
     pub done: TaskSet,
     /// Tasks whose end is durable.
     pub written: TaskSet,
-    /// Versions of the records of that, by chunk.
-    pub progress_versions: BTreeMap<u32, u64>,
+    /// The records of that, with their versions.
+    pub progress: BTreeMap<String, u64>,
     /// Tasks that wait to be placed.
     pub pending: TaskSet,
     pub live: BTreeMap<u32, Placement>,
@@ -159,9 +170,11 @@
             version,
             phase,
             submitted,
+            ready: submitted,
+            needed: None,
             done: TaskSet::default(),
             written: TaskSet::default(),
-            progress_versions: BTreeMap::new(),
+            progress: BTreeMap::new(),
             pending,
             live: BTreeMap::new(),
             failures: 0,
@@ -171,19 +184,26 @@
         }
     }
 
-    /// When it should be complete, time of day, ms: by its owner, or long after submission.
+    /// When it should be complete, time of day, ms: by its owner, or long after submission; or when
+    /// a job that needs it should be.
     pub fn due(&self) -> u64 {
-        let within = self.spec.deadline_ms.unwrap_or(NO_DEADLINE_MS);
-        self.submitted.saturating_add(within)
+        let own = self.spec.due(self.submitted);
+        self.needed.map_or(own, |(_, due)| own.min(due))
+    }
+
+    /// Its own priority, or that of a job that needs it.
+    pub fn priority(&self) -> Priority {
+        let own = self.spec.priority;
+        self.needed.map_or(own, |(priority, _)| own.max(priority))
     }
 
-    /// Whether nothing of it has run or runs although it was submitted long before `wall` (time
-    /// of day, ms). One that keeps failing waits for a reason of its own.
+    /// Whether nothing of it has run or runs although it could have long before `wall` (time of
+    /// day, ms). One that keeps failing waits for a reason of its own.
     pub fn is_aged(&self, wall: u64) -> bool {
         self.live.is_empty()
             && self.done.is_empty()
             && self.failures < FAILURES_AGED
-            && wall.saturating_sub(self.submitted) > AGED_MS
+            && wall.saturating_sub(self.ready) > AGED_MS
     }
 
     pub fn is_open(&self) -> bool {
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -1,6 +1,7 @@
 //! What the scheduler knows: jobs, teams' use, machines and rounds. Pure data: no I/O and no
 //! clock is read here; times come in as [`Ms`].
 
+pub mod dependencies;
 mod job;
 mod machine;
 mod task_set;
--- a/src/model/task_set.rs
+++ b/src/model/task_set.rs
@@ -1,6 +1,6 @@
 //! A set of task numbers of one job, as a bitmap: cheap for the largest arrays.
 
-use crate::constants::DONE_CHUNK;
+use crate::constants::{DONE_CHUNK, DONE_PART};
 
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct TaskSet {
@@ -75,10 +75,10 @@
         })
     }
 
-    /// The part that chunk number `chunk` of the durable record covers, as hexadecimal text.
-    pub fn chunk_text(&self, chunk: u32) -> String {
-        let per = (DONE_CHUNK / BITS) as usize;
-        let from = (chunk as usize * per).min(self.words.len());
+    /// That part of the members as hexadecimal text, for the durable record.
+    pub fn part_text(&self, part: u32) -> String {
+        let per = (DONE_PART / BITS) as usize;
+        let from = (part as usize * per).min(self.words.len());
         let to = (from + per).min(self.words.len());
         let mut words = &self.words[from..to];
         while let Some((0, rest)) = words.split_last() {
@@ -87,14 +87,13 @@
         words.iter().map(|w| format!("{w:016x}")).collect()
     }
 
-    /// Adds what [`TaskSet::chunk_text`] gave; numbers from `limit` on are left out. `None` if
-    /// the text is not such a chunk.
-    pub fn add_chunk(&mut self, chunk: u32, text: &str, limit: u32) -> Option<()> {
+    /// Adds what [`TaskSet::part_text`] gave, from the number `base` on; numbers from `limit` on
+    /// are left out. `None` if the text is not such a part.
+    pub fn add_text(&mut self, base: u32, text: &str, limit: u32) -> Option<()> {
         if !text.is_ascii() || !text.len().is_multiple_of(16) || text.len() as u32 * 4 > DONE_CHUNK
         {
             return None;
         }
-        let base = chunk.checked_mul(DONE_CHUNK)?;
         for at in 0..text.len() / 16 {
             let mut word = u64::from_str_radix(&text[at * 16..at * 16 + 16], 16).ok()?;
             while word != 0 {
--- a/src/model/task_set/tests.rs
+++ b/src/model/task_set/tests.rs
@@ -3,13 +3,13 @@
 #[test]
 fn large_arrays_survive_their_chunks() {
     let mut set = TaskSet::default();
-    for i in [0, 63, 64, DONE_CHUNK - 1, DONE_CHUNK, 99_999] {
+    for i in [0, 63, 64, DONE_PART - 1, DONE_PART, 99_999] {
         assert!(set.insert(i));
         assert!(!set.insert(i));
     }
     let mut back = TaskSet::default();
-    for chunk in 0..=99_999 / DONE_CHUNK {
-        back.add_chunk(chunk, &set.chunk_text(chunk), 100_000)
+    for part in 0..=99_999 / DONE_PART {
+        back.add_text(part * DONE_PART, &set.part_text(part), 100_000)
             .unwrap();
     }
     assert_eq!(
@@ -18,8 +18,8 @@
     );
     assert_eq!(back.len(), 6);
     assert!(back.remove(64) && !back.remove(64));
-    assert!(back.add_chunk(0, "zz", 10).is_none());
+    assert!(back.add_text(0, "zz", 10).is_none());
     assert_eq!(TaskSet::full(100_000).len(), 100_000);
     assert_eq!(TaskSet::full(70).iter().count(), 70);
-    assert!(TaskSet::full(4096).chunk_text(0).len() <= 2048);
+    assert!(TaskSet::full(4096).part_text(0).len() <= 1024);
 }
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -38,3 +38,36 @@
         Err(PeerError::Length(_))
     ));
 }
+
+/// Frames as the production version wrote them, to the byte.
+#[test]
+fn frames_of_the_production_version_are_read_and_written() {
+    assert_eq!(k::PEER_VERSION, 1, "the production version's");
+    let said = Message::Announce(Announcement {
+        node: "n1".into(),
+        term: 7,
+        store_ok: true,
+    });
+    let job = || "run-7".to_owned();
+    let (done, running) = (3, 300);
+    macro_rules! production {
+        ($name:literal) => {
+            include_bytes!(concat!(
+                "../../tests/fixtures/production/",
+                $name,
+                ".postcard"
+            ))
+            .as_slice()
+        };
+    }
+    for (bytes, message) in [
+        (production!("announce"), said),
+        (production!("count"), Message::Count { job: job() }),
+        (production!("counts"), Message::Counts { done, running }),
+        (production!("nothing"), Message::Nothing),
+        (production!("cancelled"), Message::Cancelled { job: job() }),
+    ] {
+        assert_eq!(postcard::from_bytes::<Message>(bytes).unwrap(), message);
+        assert_eq!(postcard::to_stdvec(&message).unwrap(), bytes);
+    }
+}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -168,14 +168,14 @@
 }
 
 /// Orders jobs: who is served first. Those that have waited too long come before all others, in the
-/// order in which they were submitted: by priority, a lasting backlog of urgent work would keep the
+/// order in which they could have begun: by priority, a lasting backlog of urgent work would keep the
 /// rest waiting for ever.
 pub fn order(candidates: &mut [Candidate<'_>]) {
     candidates.sort_by(|a, b| {
         let key = |c: &Candidate<'_>| match c.aged {
-            true => (c.aged, None, Reverse(c.job.submitted)),
+            true => (c.aged, None, Reverse(c.job.ready)),
             false => {
-                let rank = Some((c.job.spec.priority, c.guaranteed));
+                let rank = Some((c.job.priority(), c.guaranteed));
                 (c.aged, rank, Reverse(c.job.due()))
             }
         };
--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -21,9 +21,10 @@
 
 /// Whether `victim` may be stopped for `job`.
 fn gives_way(victim: &Victim<'_>, candidate: &Candidate<'_>) -> bool {
-    let (theirs, ours) = (&victim.job.spec, &candidate.job.spec);
-    let borrowed = candidate.guaranteed && !victim.guaranteed && theirs.team != ours.team;
-    theirs.priority < ours.priority || borrowed
+    let (theirs, ours) = (victim.job, candidate.job);
+    let others = theirs.spec.team != ours.spec.team;
+    let borrowed = candidate.guaranteed && !victim.guaranteed && others;
+    theirs.priority() < ours.priority() || borrowed
 }
 
 /// What stopping a task costs: first the priority of the work, then what it loses.
@@ -34,7 +35,7 @@
     } else {
         1
     };
-    (victim.job.spec.priority, !saves, with_it)
+    (victim.job.priority(), !saves, with_it)
 }
 
 /// Tasks to stop so that `tasks` tasks of the candidate fit; none if that can't be had.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -131,6 +131,32 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// Limits that will hold from some moment on, without notice.
+    #[serde(default)]
+    next: Option<NextState>,
+}
+
+/// What is left out stays as it is.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default)]
+struct NextState {
+    rps: Option<f64>,
+    write_rps: Option<f64>,
+    value_kb: Option<f64>,
+    txn_ops: Option<usize>,
+}
+
+impl State {
+    /// The limits to keep to: the least of those of now and of later. Requests that fit the least of
+    /// both fit at any time, so nobody has to find out when the change comes.
+    fn keep_to_least(&mut self) {
+        let next = self.next.take().unwrap_or_default();
+        let least = |now: &mut f64, next: Option<f64>| *now = next.map_or(*now, |n| now.min(n));
+        least(&mut self.rps, next.rps);
+        least(&mut self.write_rps, next.write_rps);
+        least(&mut self.value_kb, next.value_kb);
+        self.txn_ops = next.txn_ops.map_or(self.txn_ops, |n| n.min(self.txn_ops));
+    }
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -196,7 +222,7 @@
 
     /// Parses and checks the platform's settings; `file` names them in errors.
     pub fn parse(text: &str, file: &str) -> Result<Settings, SettingsError> {
-        let settings: Settings = toml::from_str(text).map_err(|e| SettingsError::Parse {
+        let mut settings: Settings = toml::from_str(text).map_err(|e| SettingsError::Parse {
             file: file.into(),
             message: e.to_string(),
         })?;
@@ -207,6 +233,7 @@
                 field,
                 allowed,
             })?;
+        settings.cluster.state.keep_to_least();
         Ok(settings)
     }
 
@@ -232,16 +259,35 @@
             ("cluster.state.value_kb", s.value_kb),
             ("cluster.cloud.rps", self.cluster.cloud.rps),
         ];
-        for (field, amount) in positive {
+        let next = s.next.clone().unwrap_or_default();
+        let to_come = [
+            ("cluster.state.next.rps", next.rps),
+            ("cluster.state.next.write_rps", next.write_rps),
+            ("cluster.state.next.value_kb", next.value_kb),
+        ];
+        let to_come = to_come
+            .into_iter()
+            .filter_map(|(field, amount)| Some((field, amount?)));
+        for (field, amount) in positive.into_iter().chain(to_come) {
             if !(amount > 0.0 && amount <= 1e6) {
                 return fail(field, "expected a number above 0, at most 1e6");
             }
         }
-        if s.value_kb < 4.0 {
-            return fail("cluster.state.value_kb", "expected at least 4");
+        for (field, amount) in [
+            ("cluster.state.value_kb", Some(s.value_kb)),
+            ("cluster.state.next.value_kb", next.value_kb),
+        ] {
+            if amount.is_some_and(|kb| kb < VALUE_KB_MIN) {
+                return fail(field, &format!("expected at least {VALUE_KB_MIN}"));
+            }
         }
-        if s.txn_ops < 4 {
-            return fail("cluster.state.txn_ops", "expected at least 4");
+        for (field, amount) in [
+            ("cluster.state.txn_ops", Some(s.txn_ops)),
+            ("cluster.state.next.txn_ops", next.txn_ops),
+        ] {
+            if amount.is_some_and(|ops| ops < TXN_OPS_MIN) {
+                return fail(field, &format!("expected at least {TXN_OPS_MIN}"));
+            }
         }
         if !(0.0..=1e6).contains(&self.cluster.cloud.list_lag_s) {
             return fail(
@@ -303,6 +349,12 @@
     }
 }
 
+/// Least size of a value in the state service, KiB, and least number of changes of a transaction: a
+/// submission without long lists, and a part of an array's progress, take less than the one; a change
+/// of leader, a round or an end of a job fits into the other.
+const VALUE_KB_MIN: f64 = 2.0;
+const TXN_OPS_MIN: usize = 4;
+
 /// Sockets that a node uses at most beside those of `front`.
 const OWN_CONNECTIONS: usize =
     k::USER_CALLS + k::WORKER_CALLS + k::PEER_CONNECTIONS + 4 * k::POOL_IDLE;
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -105,3 +105,33 @@
         assert!(t.grace > 2 * k::LEASE_RENEW_MS.max(k::WATCH_MS));
     }
 }
+
+#[test]
+fn limits_to_come_are_kept_from_the_start() {
+    let with = |next: &str| {
+        let text = SAMPLE.replace("txn_ops = 24", &format!("txn_ops = 24\n{next}"));
+        Settings::parse(&text, "s.toml")
+    };
+    let state = |next: &str| with(next).unwrap().cluster.state;
+    assert_eq!(state("").txn_ops, 24);
+    let some = state("[cluster.state.next]\nvalue_kb = 2.0\nwrite_rps = 80.0\nnew = 1");
+    assert_eq!(
+        (some.value_kb, some.write_rps, some.txn_ops),
+        (2.0, 50.0, 24)
+    );
+    let all = "[cluster.state.next]\nvalue_kb = 16.0\nwrite_rps = 15\nrps = 100.0\ntxn_ops = 4";
+    let all = state(all);
+    assert_eq!((all.value_kb, all.write_rps, all.rps), (8.0, 15.0, 100.0));
+    assert_eq!(all.txn_ops, 4);
+    for (next, field, allowed) in [
+        ("value_kb = 1.0", "next.value_kb", "at least 2"),
+        ("txn_ops = 3", "next.txn_ops", "at least 4"),
+        ("rps = -1.0", "next.rps", "above 0"),
+        ("write_rps = 0.0", "next.write_rps", "above 0"),
+        ("txn_ops = \"many\"", "txn_ops", "expected"),
+    ] {
+        let error = with(&format!("[cluster.state.next]\n{next}")).unwrap_err();
+        let text = error.to_string();
+        assert!(text.contains(field) && text.contains(allowed), "{text}");
+    }
+}
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -18,6 +18,8 @@
     addr: SocketAddr,
     calls: Mutex<TokenBucket>,
     writes: Mutex<TokenBucket>,
+    /// Kept for users: the leader's rounds and ends may use up all others for a while.
+    user_writes: Mutex<TokenBucket>,
     started: Instant,
 }
 
@@ -30,6 +32,10 @@
             addr: settings.services.state,
             calls: bucket(state.rps),
             writes: bucket(state.write_rps.max(state.txn_ops as f64 / k::RATE_SHARE)),
+            user_writes: Mutex::new(TokenBucket::new(
+                state.write_rps * k::USER_WRITE_SHARE,
+                k::USER_WRITE_BURST_S,
+            )),
             started: Instant::now(),
         }
     }
@@ -40,21 +46,30 @@
             StoreCall::Commit(txn) => txn.writes.len() as f64,
             _ => 0.0,
         };
+        let take = |bucket: &Mutex<TokenBucket>, amount, reserve| {
+            let mut bucket = bucket.lock().unwrap_or_else(|e| e.into_inner());
+            bucket.take(amount, reserve, self.started.elapsed())
+        };
         for (bucket, amount) in [(&self.calls, 1.0), (&self.writes, writes)] {
             if amount == 0.0 {
                 continue;
             }
             loop {
-                let wait = {
-                    let now = self.started.elapsed();
-                    let mut bucket = bucket.lock().unwrap_or_else(|e| e.into_inner());
-                    match urgency {
-                        Urgency::Lease => {
-                            bucket.force(amount, now);
+                let wait = match urgency {
+                    Urgency::Lease => {
+                        let mut bucket = bucket.lock().unwrap_or_else(|e| e.into_inner());
+                        bucket.force(amount, self.started.elapsed());
+                        None
+                    }
+                    Urgency::Engine => take(bucket, amount, 0.0),
+                    Urgency::User => {
+                        let own = std::ptr::eq(bucket, &self.writes)
+                            && take(&self.user_writes, amount, 0.0).is_none();
+                        if own {
                             None
+                        } else {
+                            take(bucket, amount, k::RATE_RESERVE)
                         }
-                        Urgency::Engine => bucket.take(amount, 0.0, now),
-                        Urgency::User => bucket.take(amount, k::RATE_RESERVE, now),
                     }
                 };
                 match (wait, urgency) {
--- a/src/wire/user.rs
+++ b/src/wire/user.rs
@@ -66,6 +66,22 @@
     pub save_s: f64,
     #[serde(rename = "due_s", default)]
     pub deadline_s: Option<f64>,
+    /// Jobs that have to be done before any task of this one starts, each named once.
+    #[serde(
+        default,
+        deserialize_with = "distinct",
+        skip_serializing_if = "Vec::is_empty"
+    )]
+    pub awaits: Vec<String>,
+}
+
+/// A list without repetitions; null for none.
+fn distinct<'de, D: serde::Deserializer<'de>>(from: D) -> Result<Vec<String>, D::Error> {
+    let names: Option<Vec<String>> = Option::deserialize(from)?;
+    let mut seen = std::collections::BTreeSet::new();
+    let mut names = names.unwrap_or_default();
+    names.retain(|name| seen.insert(name.clone()));
+    Ok(names)
 }
 
 /// Most tasks of one job.
@@ -73,6 +89,8 @@
 /// Longest text in a submission (names of teams, images, types); ids of keys stay below the
 /// state service's 200 bytes.
 const MAX_TEXT: usize = 120;
+/// Most jobs that one may await.
+pub const MAX_AWAITS: usize = 64;
 /// Longest list of machine types, with four bytes for each one's marks.
 const MAX_TYPES_TEXT: usize = 2048;
 
@@ -125,6 +143,9 @@
         if self.zone.as_ref().is_some_and(|zone| zone.len() > MAX_TEXT) {
             return Err(format!("yard: expected at most {MAX_TEXT} bytes"));
         }
+        if self.awaits.len() > MAX_AWAITS || !self.awaits.iter().all(|id| valid_id(id)) {
+            return Err(format!("awaits: expected at most {MAX_AWAITS} job ids"));
+        }
         Ok(())
     }
 }
--- a/src/wire/user/tests.rs
+++ b/src/wire/user/tests.rs
@@ -22,6 +22,7 @@
         checkpoint_s: 10.0,
         save_s: 2.0,
         deadline_s: None,
+        awaits: Vec::new(),
     }
 }
 
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -611,6 +611,72 @@
     assert_eq!(heard.unwrap(), "run-000412");
 }
 
+/// `good` with what it awaits.
+fn awaiting(uid: &'static str, awaits: Value) -> Vec<u8> {
+    submission(move |fields| {
+        set("uid", uid)(fields);
+        fields.push((Value::from("awaits"), awaits.clone()));
+    })
+}
+
+fn names(ids: &[&str]) -> Value {
+    Value::Array(ids.iter().map(|id| Value::from(*id)).collect())
+}
+
+#[tokio::test]
+async fn what_a_submission_may_await_is_checked_at_once() {
+    let (client, standin) = node().await;
+    let post = |body| client.status(Method::POST, "/submissions", Some(body));
+    assert_eq!(post(submission(|_| {})).await, 201);
+    let many: Vec<String> = (0..65).map(|n| format!("run-{n}")).collect();
+    let many: Vec<&str> = many.iter().map(|id| &**id).collect();
+    for bad in [
+        Value::from("run-000412"),
+        Value::from(7),
+        names(&["run-000412", "host-1"]),
+        Value::Array(vec![Value::from(412)]),
+        names(&many),
+    ] {
+        assert_eq!(post(awaiting("run-1", bad.clone())).await, 400, "{bad}");
+    }
+    assert_eq!(post(awaiting("run-1", names(&["run-1"]))).await, 422);
+    let never = names(&["run-000412", "run-77"]);
+    assert_eq!(post(awaiting("run-1", never.clone())).await, 422);
+    assert_eq!(post(awaiting("run-1", Value::Nil)).await, 201);
+    assert_eq!(post(awaiting("run-2", names(&[]))).await, 201);
+    // Named twice, it counts once.
+    let most: Vec<&str> = vec!["run-000412"; 100];
+    assert_eq!(post(awaiting("run-3", names(&most))).await, 201);
+    assert_eq!(
+        post(awaiting("run-3", never.clone())).await,
+        200,
+        "it stays the accepted job"
+    );
+    standin.down.store(true, Ordering::Relaxed);
+    let body = awaiting("run-4", never);
+    assert_eq!(post(body).await, 503);
+}
+
+#[tokio::test]
+async fn cancelled_jobs_take_those_that_need_them_with_them() {
+    let (client, _standin) = node().await;
+    let post = |body| client.status(Method::POST, "/submissions", Some(body));
+    assert_eq!(post(submission(|_| {})).await, 201);
+    assert_eq!(post(awaiting("run-1", names(&["run-000412"]))).await, 201);
+    assert_eq!(post(awaiting("run-2", names(&["run-1"]))).await, 201);
+    assert_eq!(client.job_state("/submissions/run-2").await, "queued");
+    let cancel = "/submissions/run-000412/cancel";
+    assert_eq!(client.status(Method::POST, cancel, None).await, 200);
+    assert_eq!(client.job_state("/submissions/run-2").await, "aborted");
+    assert_eq!(client.job_state("/submissions/run-1").await, "aborted");
+    // Accepted all the same, and cancelled.
+    assert_eq!(post(awaiting("run-3", names(&["run-2"]))).await, 201);
+    assert_eq!(client.job_state("/submissions/run-3").await, "aborted");
+    assert_eq!(post(awaiting("run-3", names(&["run-2"]))).await, 200);
+    let cancel = "/submissions/run-2/cancel";
+    assert_eq!(client.status(Method::POST, cancel, None).await, 200);
+}
+
 /// Guards against a job that is in neither place where it is looked for, because its end is written
 /// between the two reads: a question, a repeated submission and a cancellation meet it.
 #[tokio::test]
