--- a/src/engine/tests/pipelines.rs
+++ b/src/engine/tests/pipelines.rs
@@ -244,6 +244,10 @@
         }
         world.submit(quick("run-5", Kind::Gang, 40));
         world.submit(quick("run-6", Kind::Array, 20));
+        // They end together.
+        for n in 20..32 {
+            world.submit(quick(&format!("run-{n}"), Kind::Array, 1));
+        }
         world.run(at);
         (world.txn_ops, world.value_max) = (4, 2 * 1024);
         let leader = world.leader().unwrap();
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -244,11 +244,11 @@
 }
 
 async fn node() -> (Client, Arc<Standin>) {
-    node_with("").await
+    node_where(|settings| settings).await
 }
 
-/// With more settings before the first table.
-async fn node_with(peers: &str) -> (Client, Arc<Standin>) {
+/// With other settings.
+async fn node_where(change: impl Fn(String) -> String) -> (Client, Arc<Standin>) {
     let standin = Arc::new(Standin::default());
     let state = serve(
         Router::new()
@@ -273,7 +273,6 @@
 site = "east"
 front = "127.0.0.1:0"
 back = "127.0.0.1:0"
-{peers}
 [services]
 cloud = "{cloud}"
 state = "{state}"
@@ -300,7 +299,7 @@
 max_connections = {SOCKETS}
 "#
     );
-    let node = Node::bind(Settings::parse(&text, "test").unwrap())
+    let node = Node::bind(Settings::parse(&change(text), "test").unwrap())
         .await
         .unwrap();
     let client = Client {
@@ -587,7 +586,8 @@
     let peer = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = peer.local_addr().unwrap();
     let peers = format!("[[peers]]\nnode_name = \"n1\"\nsite = \"west\"\naddr = \"{addr}\"");
-    let (client, _standin) = node_with(&peers).await;
+    let with_peers = |text: String| text.replace("[services]", &format!("{peers}\n[services]"));
+    let (client, _standin) = node_where(with_peers).await;
     let body = submission(|_| {});
     assert_eq!(
         client
@@ -699,3 +699,20 @@
         assert_eq!(client.job_state(path).await, "done", "{question}");
     }
 }
+
+/// A record that is accepted must fit into a value under the least of both limits.
+#[tokio::test]
+async fn what_does_not_fit_into_a_value_is_refused() {
+    let small = |text: String| text.replace("value_kb = 8.0", "value_kb = 2.0");
+    let (client, _standin) = node_where(small).await;
+    let post = |body| client.status(Method::POST, "/submissions", Some(body));
+    let mut all = Vec::new();
+    for n in 0..64 {
+        let id = format!("run-{n:020}");
+        assert_eq!(post(submission(set("uid", id.clone()))).await, 201);
+        all.push(id);
+    }
+    let ids: Vec<&str> = all.iter().map(|id| &**id).collect();
+    assert_eq!(post(awaiting("run-1", names(&ids))).await, 400);
+    assert_eq!(post(awaiting("run-1", names(&ids[..32]))).await, 201);
+}
