--- a/src/engine/tests/pipelines.rs
+++ b/src/engine/tests/pipelines.rs
@@ -3,7 +3,7 @@
 use super::world::World;
 use super::{ends_well, quick, world_with};
 use crate::model::{Job as Known, Phase, Spec};
-use crate::wire::user::{Job, JobState, Kind, Priority};
+use crate::wire::user::{Job, JobState, Kind, Priority, tests::job};
 
 fn step(id: &str, kind: Kind, tasks: u64, awaits: &[&str]) -> Job {
     let mut job = quick(id, kind, tasks);
@@ -262,3 +262,66 @@
         assert!(world.run_until(20_000, |w| w.keys("live/job/") == 0));
     }
 }
+
+/// A record as the production version wrote it.
+macro_rules! production {
+    ($name:literal) => {
+        rmp_serde::from_slice(include_bytes!(concat!(
+            "../../../tests/fixtures/production/",
+            $name,
+            ".msgpack"
+        )))
+        .unwrap()
+    };
+}
+
+fn all_restart(world: &mut World, meanwhile: impl Fn(&mut World)) {
+    for node in 0..3 {
+        world.crash(node);
+    }
+    world.run(6_000);
+    meanwhile(world);
+    for node in 0..3 {
+        world.start(node);
+    }
+}
+
+/// Leadership passes from the production version to the new one, back, and to the new one again. The
+/// production version is played by what it wrote, and by what it does to a job whose record it can't
+/// read: its user cancels it, and it deletes the record.
+#[test]
+fn what_leaders_of_the_production_version_left_is_carried_on() {
+    let mut world = World::new(3, 8.0);
+    all_restart(&mut world, |w| {
+        let mut gang = job("run-7", Kind::Gang, 2);
+        gang.estimate_s = 20.0;
+        w.jobs.insert("run-7".into(), gang);
+        w.put("term", production!("term"));
+        w.put("live/job/run-7", production!("open"));
+        // Of its term, on a machine that is long gone.
+        w.put("rounds/0000000000700001", production!("round"));
+    });
+    assert!(world.run_until(10_000, |w| w.leader().is_some()));
+    assert!(world.term() > 7);
+    for step in [
+        step("run-8", Kind::Array, 1, &["run-7"]),
+        step("run-9", Kind::Array, 1, &["run-7"]),
+        step("run-10", Kind::Array, 1, &["run-9"]),
+    ] {
+        world.submit(step);
+    }
+    assert!(world.run_until(90_000, |w| w.running("run-7") == 2));
+    all_restart(&mut world, |w| {
+        assert!(w.is_live("run-9"));
+        w.remove("live/job/run-9");
+        w.put("final/run-9", production!("final_aborted"));
+    });
+    ends_well(&mut world, "run-8", 120_000);
+    assert!(world.done("run-7"));
+    assert!(world.run_until(10_000, |w| w.state("run-10") == Some(JobState::Cancelled)));
+    world.run(5_000);
+    for prefix in ["live/job/", "rounds/"] {
+        assert_eq!(world.keys(prefix), 0, "{prefix}");
+    }
+    assert_eq!(world.broken, Vec::<String>::new());
+}
--- a/src/engine/tests/world.rs
+++ b/src/engine/tests/world.rs
@@ -342,6 +342,12 @@
         self.step(node, self.nodes[node].epoch, Some(command));
     }
 
+    /// Removes a record as somebody else does.
+    pub fn remove(&mut self, key: &str) {
+        let txn = ws::Txn::default().delete(key);
+        self.commit(&txn).unwrap();
+    }
+
     /// Puts a record there that somebody else wrote.
     pub fn put(&mut self, key: &str, value: rmpv::Value) {
         let txn = ws::Txn::default().put(key, value);
