Tidy-up: one way to end a job, the users' bucket stands beside the one it spares, restarts in tests

The commit of a job's end stood in ends.rs and pipelines.rs; the client told the bucket of changes by its address; unknown names were looked for in a list.

--- a/src/engine/ends.rs
+++ b/src/engine/ends.rs
@@ -2,7 +2,7 @@
 //! gone, and the removal of records nobody needs any more. Batched, one transaction at a time.
 
 use super::pipelines::write_step;
-use super::records::{self, FinalRecord, LEAD, WorkRecord};
+use super::records::{self, LEAD, WorkRecord};
 use super::{Engine, Op, Retry, Role};
 use crate::constants as k;
 use crate::model::{JobId, Ms, Phase};
@@ -75,20 +75,12 @@
                 ends.over.insert(id);
                 break;
             }
-            let live = records::job_key(&id.0);
             txn = match job.phase {
                 Phase::Done { written: false } => {
                     let tasks = u64::from(job.spec.tasks);
-                    let last = FinalRecord {
-                        state: JobState::Done,
-                        tasks,
-                    };
-                    // Whoever cancelled the job meanwhile has changed its record and wins.
-                    txn.when(&live, job.version)
-                        .put(records::final_key(&id.0), records::final_value(&last))
-                        .delete(live)
+                    records::end(txn, &id.0, job.version, JobState::Done, tasks)
                 }
-                Phase::Cancelled if job.live.is_empty() => txn.delete(live),
+                Phase::Cancelled if job.live.is_empty() => txn.delete(records::job_key(&id.0)),
                 _ => continue,
             };
             // Named now: when the answer comes, the watch may have removed the job already.
--- a/src/engine/pipelines.rs
+++ b/src/engine/pipelines.rs
@@ -6,7 +6,7 @@
 //! of the record's version, and only that makes the job one that a round may start. That one is
 //! cancelled follows from the records of those that it needs, at any node, with no second write.
 
-use super::records::{self, FinalRecord, JobRecord};
+use super::records::{self, JobRecord};
 use super::{Engine, Op, Reply, ReplyId, Retry};
 use crate::constants as k;
 use crate::model::dependencies::{self, Awaited, Standing, Waiting};
@@ -14,7 +14,7 @@
 use crate::store::{StoreCall, StoreError, StoreReply};
 use crate::wire::store::Txn;
 use crate::wire::user::JobState;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Debug)]
 struct Step {
@@ -95,21 +95,16 @@
     let Some(step) = pipelines.steps.get(id) else {
         return txn;
     };
-    let live = records::job_key(&id.0);
     match step.standing {
         Standing::Ready => {
+            let live = records::job_key(&id.0);
             let record = step.record.clone().ready(wall);
             txn.when(&live, step.version)
                 .put(live, records::job_value(&record))
         }
         Standing::Cancelled => {
-            let last = FinalRecord {
-                state: JobState::Cancelled,
-                tasks: step.record.job.tasks,
-            };
-            txn.when(&live, step.version)
-                .put(records::final_key(&id.0), records::final_value(&last))
-                .delete(live)
+            let tasks = step.record.job.tasks;
+            records::end(txn, &id.0, step.version, JobState::Cancelled, tasks)
         }
         Standing::Waits | Standing::Unknown => txn,
     }
@@ -133,7 +128,7 @@
         let named = || steps.values().flat_map(|s| &s.awaits);
         let unknown =
             named().filter(|id| !steps.contains_key(*id) && self.awaited(id) == Awaited::Unknown);
-        let unknown: Vec<JobId> = unknown.cloned().collect();
+        let unknown: BTreeSet<JobId> = unknown.cloned().collect();
         let mut ends = BTreeMap::new();
         for id in named() {
             if let Some(state) = self.pipelines.ends.get(id) {
--- a/src/engine/records.rs
+++ b/src/engine/records.rs
@@ -13,6 +13,7 @@
 use crate::constants::{DONE_CHUNK, DONE_PART};
 use crate::model::JobId;
 use crate::wire;
+use crate::wire::store::Txn;
 use crate::wire::user::{Job, JobState};
 use rmpv::Value;
 use serde::de::DeserializeOwned;
@@ -185,6 +186,16 @@
     u64::from_str_radix(number, 16).ok()
 }
 
+/// Adds to a transaction a job's end: its final record comes and its live one goes, if that still has
+/// this version. Whoever changed it meanwhile wins.
+pub fn end(txn: Txn, id: &str, version: u64, state: JobState, tasks: u64) -> Txn {
+    let live = job_key(id);
+    let last = FinalRecord { state, tasks };
+    txn.when(&live, version)
+        .put(final_key(id), final_value(&last))
+        .delete(live)
+}
+
 /// A record as a value of the state service.
 pub fn value<T: Serialize>(record: &T) -> Value {
     rmp_serde::from_slice(&wire::encode(record)).unwrap_or(Value::Nil)
--- a/src/engine/tests/meetings.rs
+++ b/src/engine/tests/meetings.rs
@@ -60,9 +60,7 @@
                     world.run(gap - late);
                     world.faults.store_down = true;
                     if restarted {
-                        world.crash(leader);
-                        world.run(700);
-                        world.start(leader);
+                        world.restart(leader, 700);
                     }
                     world.run(outage);
                     world.faults.store_down = false;
@@ -281,9 +279,7 @@
     assert!(world.run_until(60_000, |w| w.faults.late_write.is_none()));
     for _ in 0..2 {
         let leader = world.leader().unwrap();
-        world.crash(leader);
-        world.run(15_000);
-        world.start(leader);
+        world.restart(leader, 15_000);
     }
     ends_well(&mut world, "run-1", 120_000);
     assert_eq!(world.starts, 4, "what was done is done again");
@@ -303,9 +299,7 @@
             world.faults.late_every = every;
             world.run(crash_at);
             if let Some(leader) = world.leader() {
-                world.crash(leader);
-                world.run(500);
-                world.start(leader);
+                world.restart(leader, 500);
             }
             world.run(30_000);
             world.cancel("run-3");
@@ -331,9 +325,7 @@
         for _ in 0..5 {
             world.run(17_000);
             let leader = world.leader().unwrap();
-            world.crash(leader);
-            world.run(1_000);
-            world.start(leader);
+            world.restart(leader, 1_000);
         }
         ends_well(&mut world, "run-1", 60_000);
         assert_eq!(world.running("run-2"), 2);
@@ -460,9 +452,7 @@
             world.run(crash_at);
             for _ in 0..3 {
                 let leader = world.leader().unwrap();
-                world.crash(leader);
-                world.run(6_000);
-                world.start(leader);
+                world.restart(leader, 6_000);
                 world.run(24_000);
             }
             ends_well(&mut world, "run-1", 60_000);
@@ -552,9 +542,7 @@
             world.cancel(&format!("run-{round}"));
             world.faults.store_down =
                 outage.is_some_and(|first| (first..first + 2).contains(&round));
-            world.crash(leads);
-            world.run(1_000);
-            world.start(leads);
+            world.restart(leads, 1_000);
             world.run(5_000);
         }
         recovers(&mut world);
--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -85,9 +85,7 @@
         ]);
         world.run(crash_at);
         if let Some(leader) = world.leader() {
-            world.crash(leader);
-            world.run(4000);
-            world.start(leader);
+            world.restart(leader, 4000);
         }
         ends_well(&mut world, "run-1", 150_000);
         ends_well(&mut world, "run-2", 150_000);
@@ -240,9 +238,7 @@
 /// Until node 1, the only one in the west, does not lead.
 fn lead_from_the_east(world: &mut World) {
     while world.leader() == Some(1) {
-        world.crash(1);
-        world.run(10_000);
-        world.start(1);
+        world.restart(1, 10_000);
         world.run(3_000);
     }
     world.run(10_000);
--- a/src/engine/tests/pipelines.rs
+++ b/src/engine/tests/pipelines.rs
@@ -36,9 +36,7 @@
             world.faults.late_every = late_every;
             world.run(crash_at);
             if let Some(leader) = world.leader() {
-                world.crash(leader);
-                world.run(800);
-                world.start(leader);
+                world.restart(leader, 800);
             }
             ends_well(&mut world, "run-4", 300_000);
             world.faults.late_every = 0;
@@ -251,9 +249,7 @@
         world.run(at);
         (world.txn_ops, world.value_max) = (4, 2 * 1024);
         let leader = world.leader().unwrap();
-        world.crash(leader);
-        world.run(1_000);
-        world.start(leader);
+        world.restart(leader, 1_000);
         for id in ["run-4", "run-5", "run-6"] {
             ends_well(&mut world, id, 200_000);
         }
--- a/src/engine/tests/world.rs
+++ b/src/engine/tests/world.rs
@@ -273,6 +273,13 @@
         self.store.watches.retain(|w| w.node != node);
     }
 
+    /// Ends the node's process, and starts it again that much later.
+    pub fn restart(&mut self, node: usize, away: Ms) {
+        self.crash(node);
+        self.run(away);
+        self.start(node);
+    }
+
     pub fn leader(&self) -> Option<usize> {
         (0..self.nodes.len())
             .filter(|n| self.engine(*n).is_some_and(|e| e.view().leading))
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -50,7 +50,11 @@
             let mut bucket = bucket.lock().unwrap_or_else(|e| e.into_inner());
             bucket.take(amount, reserve, self.started.elapsed())
         };
-        for (bucket, amount) in [(&self.calls, 1.0), (&self.writes, writes)] {
+        let buckets = [
+            (&self.calls, 1.0, None),
+            (&self.writes, writes, Some(&self.user_writes)),
+        ];
+        for (bucket, amount, users) in buckets {
             if amount == 0.0 {
                 continue;
             }
@@ -62,15 +66,10 @@
                         None
                     }
                     Urgency::Engine => take(bucket, amount, 0.0),
-                    Urgency::User => {
-                        let own = std::ptr::eq(bucket, &self.writes)
-                            && take(&self.user_writes, amount, 0.0).is_none();
-                        if own {
-                            None
-                        } else {
-                            take(bucket, amount, k::RATE_RESERVE)
-                        }
-                    }
+                    Urgency::User => match users.map(|own| take(own, amount, 0.0)) {
+                        Some(None) => None,
+                        _ => take(bucket, amount, k::RATE_RESERVE),
+                    },
                 };
                 match (wait, urgency) {
                     (None, _) => break,
