Gangs of any size: a round too large for one transaction is written by several

Cause: a gang of more than 128 tasks (2 KiB values, four changes a transaction), or of more than 512 ever, was accepted and never placed, since its round had to fit into one transaction.

Such a gang now has a round of its own. All of its transactions carry the conditions of any round (the leader's key, the job's version); the earlier ones write parts without effect, the last one makes the round valid, and only then starts go out. Other rounds go on meanwhile. Records that a late copy of a transaction leaves behind are found and removed.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -156,9 +156,16 @@
 /// Tasks such a record covered in the version before pipelines. For the upgrade: once no array is
 /// left that it began, nothing reads it.
 pub const DONE_CHUNK: u32 = 8192;
-/// Tasks one round may start, in as many records as that takes: with its conditions it stays well
-/// below the 64 KiB of a transaction. No larger gang can be placed.
-pub const ROUND_STARTS: usize = 512;
+/// Tasks on one machine at most: a report takes up to 64 KiB and names each task in some 85 bytes,
+/// those that have ended and wait to be forgotten as well, for which half of it is left.
+pub const MACHINE_TASKS: u32 = 384;
+/// Starts that one transaction of a round writes, in as many records as that takes: with its
+/// conditions it stays well below the 64 KiB of a transaction. A larger gang takes several.
+pub const TRANSACTION_STARTS: usize = 512;
+/// How long after a round's transaction got no answer records are looked for that a late copy of it
+/// has left, ms: an answer that is missing for a minute rarely means that more is still to come, and
+/// what comes later is found by the next leader.
+pub const ORPHANED_ROUNDS_AFTER_MS: u64 = 60_000;
 /// A job whose record was found changed when its round was written is left out of rounds for this
 /// long, ms: the watch usually tells of the change within some ms, and at most a second later.
 pub const CHANGED_PAUSE_MS: u64 = 500;
--- a/src/engine/machines.rs
+++ b/src/engine/machines.rs
@@ -6,6 +6,7 @@
 //! every machine at each pass, it took most of a leader's processor at 1,300 machines.)
 
 use super::Engine;
+use crate::constants as k;
 use crate::model::{Machine, MachineId, Ms, Resources, Stage, TaskId, Types};
 use crate::placement::Slot;
 use crate::wire::user::Kind;
@@ -163,6 +164,7 @@
                 spot: machine.spot,
                 size: kind.size,
                 room: kind.size - used,
+                free_tasks: k::MACHINE_TASKS.saturating_sub(machine.tasks.len() as u32),
                 settled,
                 images: images.map(|(name, _)| name.clone()).collect(),
                 fetching,
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -142,7 +142,12 @@
     /// Nobody waits for the outcome.
     Forgotten,
     Load,
-    Round,
+    /// A transaction of the round of that number.
+    Round {
+        number: u64,
+    },
+    /// Records of rounds, among which those that nobody needs are looked for.
+    OrphanedRounds,
     Ends(ends::Batch),
     /// A record of progress whose version is not known any more.
     Progress {
@@ -457,7 +462,8 @@
             Some(Op::CampaignCommit { term }) => self.on_elected(term, result),
             Some(Op::Touch { sent }) => self.on_touched(sent, result),
             Some(Op::Load) => self.on_loaded(result),
-            Some(Op::Round) => self.on_round_written(result),
+            Some(Op::Round { number }) => self.on_round_written(number, result),
+            Some(Op::OrphanedRounds) => self.on_rounds_listed(result),
             Some(Op::Ends(batch)) => self.on_ends_written(batch, result),
             Some(Op::Progress { key }) => self.on_progress_read(&key, result),
             Some(Op::End { job }) => self.on_end_read(&job, result),
@@ -522,7 +528,7 @@
         self.load_when_due();
         if self.leader().is_some_and(|l| l.loading.is_none()) {
             self.keep_machines();
-            self.keep_rounds();
+            self.reconcile_rounds();
             self.place_when_due();
             self.write_ends_when_due();
             self.provision_when_due();
--- a/src/engine/recovery.rs
+++ b/src/engine/recovery.rs
@@ -4,6 +4,7 @@
 //! as placed until the machine, having seen this leader's token, reports without it.
 
 use super::records::{self, ROUNDS, RoundRecord, WORK, WorkRecord};
+use super::rounds::{RoundPart, StartGroup};
 use super::{Engine, Op, Retry, Role};
 use crate::model::{JobId, Machine, MachineId, Placement, SeqNo, Stage, TaskId};
 use crate::store::{StoreCall, StoreError, StoreReply};
@@ -148,23 +149,31 @@
         let number = records::round_of_key(key)?;
         let now = self.now;
         let mut starts = Vec::new();
-        for (id, machine, tasks) in record.starts {
-            let (id, machine) = (JobId::from(&*id), MachineId::from(&*machine));
-            for index in &tasks {
-                self.recover_start(&id, &machine, *index, number);
+        for (job, machine, tasks) in record.starts {
+            let group = StartGroup {
+                job: JobId::from(&*job),
+                machine: MachineId::from(&*machine),
+                tasks,
+            };
+            for index in &group.tasks {
+                self.recover_start(&group.job, &group.machine, *index, number);
             }
-            starts.push((id, machine, tasks));
+            starts.push(group);
         }
         let leader = self.leader_mut()?;
-        for (_, machine, _) in &starts {
-            leader.machines.get_or_insert_with(machine.clone(), |id| {
-                // Type and zone follow with its first report.
-                Machine::new(id, "".into(), "".into(), false, now)
-            });
+        for group in &starts {
+            leader
+                .machines
+                .get_or_insert_with(group.machine.clone(), |id| {
+                    // Type and zone follow with its first report.
+                    Machine::new(id, "".into(), "".into(), false, now)
+                });
         }
         let round = leader.rounds.open.entry(number).or_default();
-        round.starts.extend(starts);
-        round.keys.push(key.to_owned());
+        round.parts.push(RoundPart {
+            key: key.to_owned(),
+            starts,
+        });
         Some(())
     }
 
--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -1,6 +1,7 @@
 //! The engine in a scripted world, under a fake clock.
 
 mod large;
+mod large_gangs;
 mod meetings;
 mod pipelines;
 mod world;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -263,6 +263,7 @@
             spot: o.spot,
             size: t.size,
             room: t.size,
+            free_tasks: k::MACHINE_TASKS,
             settled: Resources::default(),
             images: Vec::new(),
             fetching: Vec::new(),
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -6,7 +6,7 @@
 
 pub mod preempt;
 
-use crate::constants::UNPLACED_MOST;
+use crate::constants::{MACHINE_TASKS, UNPLACED_MOST};
 use crate::model::{Job, JobId, MachineId, Resources, Spec};
 use crate::settings::Limit;
 use crate::wire::user::Kind;
@@ -23,6 +23,8 @@
     pub spot: bool,
     pub size: Resources,
     pub room: Resources,
+    /// How many more tasks its reports have room for.
+    pub free_tasks: u32,
     /// What tasks hold that don't end by themselves (services).
     pub settled: Resources,
     /// Images that it has.
@@ -38,6 +40,7 @@
     pub fn take(&mut self, spec: &Spec, count: u32) {
         let need = spec.need.times(u64::from(count));
         self.room = self.room - need;
+        self.free_tasks = self.free_tasks.saturating_sub(count);
         if spec.kind == Kind::Service {
             self.settled += need;
         }
@@ -50,6 +53,7 @@
     /// How many of `most` more tasks go here, given the job's tasks by zone.
     pub fn takes(&self, spec: &Spec, zones: &BTreeMap<Arc<str>, u32>, most: u32) -> u32 {
         most.min(self.room.count_of(spec.need))
+            .min(self.free_tasks)
             .min(zone_room(spec, zones, &self.zone))
     }
 
@@ -139,32 +143,34 @@
 
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Plan {
+    /// Starts of a round that one transaction writes.
     pub starts: Vec<Start>,
+    /// Starts of one gang that is larger than that: a round of its own.
+    pub large_gang: Vec<Start>,
     pub unplaced: Vec<Unplaced>,
 }
 
-impl Plan {
-    /// Starts the job's next tasks at their places.
-    fn start(
-        &mut self,
-        id: &JobId,
-        spec: &Spec,
-        mut indices: impl Iterator<Item = u32>,
-        places: &[Place],
-        slots: &mut [Slot],
-    ) {
-        for (at, count) in places {
-            let slot = &mut slots[*at];
-            slot.take(spec, *count);
-            for index in indices.by_ref().take(*count as usize) {
-                self.starts.push(Start {
-                    job: id.clone(),
-                    index,
-                    machine: slot.id.clone(),
-                });
-            }
+/// Takes the room for a job's next tasks at their places; their starts.
+fn starts_at(
+    id: &JobId,
+    spec: &Spec,
+    mut indices: impl Iterator<Item = u32>,
+    places: &[Place],
+    slots: &mut [Slot],
+) -> Vec<Start> {
+    let mut starts = Vec::new();
+    for (at, count) in places {
+        let slot = &mut slots[*at];
+        slot.take(spec, *count);
+        for index in indices.by_ref().take(*count as usize) {
+            starts.push(Start {
+                job: id.clone(),
+                index,
+                machine: slot.id.clone(),
+            });
         }
     }
+    starts
 }
 
 /// Orders jobs: who is served first. Those that have waited too long come before all others, in the
@@ -206,9 +212,12 @@
 /// What one round may hold.
 #[derive(Debug, Clone, Copy)]
 pub struct Bounds {
+    /// Starts that one transaction writes.
     pub starts: usize,
     /// Jobs with starts: the round's conditions name each.
     pub jobs: usize,
+    /// Whether a gang with more starts than that may be placed in a round of its own.
+    pub large_gang: bool,
 }
 
 /// Plans a round within `bounds`; changes `slots` (their order, too) and `teams` to what is left.
@@ -230,7 +239,16 @@
             false => 0,
         };
         if job.spec.kind == Kind::Gang {
+            let large = job.spec.tasks as usize > bounds.starts;
+            let left = match large {
+                true if bounds.large_gang && plan.large_gang.is_empty() => usize::MAX,
+                true => 0,
+                false => left,
+            };
             let fits = plan_gang(id, job, &mut slots[..open], teams, left, &mut plan);
+            if large {
+                plan.large_gang.extend(plan.starts.drain(before..));
+            }
             if !fits && candidate.aged {
                 hold_back(&job.spec, slots);
             }
@@ -274,7 +292,8 @@
     let wanted = teams.take(&spec.team, spec.need, most);
     let places = places(spec, zones, slots, wanted.min(left), None);
     let unplaced = wanted - tasks_of(&places);
-    plan.start(id, spec, job.pending.iter(), &places, slots);
+    let starts = starts_at(id, spec, job.pending.iter(), &places, slots);
+    plan.starts.extend(starts);
     if unplaced > 0 {
         teams.give_back(&spec.team, spec.need.times(u64::from(unplaced)));
         plan.unplaced.push(Unplaced {
@@ -313,7 +332,7 @@
                 break;
             }
             let fits = (slots[at].size - slots[at].settled).count_of(spec.need);
-            left = left.saturating_sub(fits);
+            left = left.saturating_sub(fits.min(MACHINE_TASKS));
             ending += still.share_of(slots[at].size);
             held.push(at);
         }
@@ -358,7 +377,8 @@
         });
         return full;
     };
-    plan.start(id, spec, 0..spec.tasks, &places, slots);
+    plan.starts
+        .extend(starts_at(id, spec, 0..spec.tasks, &places, slots));
     true
 }
 
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -11,6 +11,7 @@
         spot: false,
         size,
         room: size,
+        free_tasks: MACHINE_TASKS,
         settled: Resources::default(),
         images: Vec::new(),
         fetching: Vec::new(),
@@ -44,6 +45,7 @@
     let bounds = Bounds {
         starts: 100,
         jobs: 100,
+        large_gang: true,
     };
     let mut rooms = slots.to_vec();
     let plan = plan(&[candidate], &mut rooms, &mut teams, bounds);
@@ -157,3 +159,25 @@
     let west = job(Kind::Array, 1, |j| j.zone = Some("west".into()));
     assert!(run(&west, &mut slots, None).starts.is_empty());
 }
+
+/// A worker's report, which names every task, holds 64 KiB: a machine filled with small tasks could
+/// never be heard again.
+#[test]
+fn a_machine_takes_no_more_tasks_than_its_reports_can_name() {
+    let tiny =
+        |job: &mut crate::wire::user::Job| (job.cpus, job.gpus, job.memory_gb) = (0.01, 0.0, 0.01);
+    for kind in [Kind::Array, Kind::Gang] {
+        let mut slots = [slot("a", "east", 8.0), slot("b", "east", 8.0)];
+        let plan = run(&job(kind, 500, tiny), &mut slots, None);
+        let starts = plan.starts.len() + plan.large_gang.len();
+        let on = |id: &str| {
+            let all = plan.starts.iter().chain(&plan.large_gang);
+            all.filter(|start| &*start.machine.0 == id).count()
+        };
+        assert_eq!(on("a") + on("b"), starts);
+        assert!(on("a").max(on("b")) <= MACHINE_TASKS as usize);
+        if kind == Kind::Gang {
+            assert_eq!(starts, 500);
+        }
+    }
+}
