Provisioning in modules of one job each; quarantine, housekeeping, refusals by their names

engine/provisioning.rs held renting, preemption, the machine list, the inspection of machines and their return in 623 lines, with functions of up to 84 lines. It becomes engine/provisioning/ with one module for each, whose functions are steps with names; the reason for a return, a refused offer, a preemption and the outcome of an inspection are types instead of strings and tuples.

Renamed: upkeep/keep_machines -> housekeeping, put aside/SICK_AFTER/blame -> quarantine, QUARANTINE_AFTER_JOBS, attribute_failures; Look -> the steps of reason_to_return; lost_touch -> has_lost_contact_with_workers. Behaviour is meant to be the same.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -140,9 +140,9 @@
 /// A start that was sent and is missing from the next report is sent again this often before
 /// its round is taken to be stalled.
 pub const START_RESENDS: u32 = 3;
-/// A machine on which tasks of this many jobs failed, with no completion between, is put
-/// aside: one job alone may be at fault itself.
-pub const SICK_AFTER: usize = 2;
+/// A machine on which tasks of this many jobs failed, with no completion between, is
+/// quarantined: one job alone may be at fault itself.
+pub const QUARANTINE_AFTER_JOBS: usize = 2;
 /// After a task's failure, its job waits this long before its next start, ms, doubling to the
 /// most: a job submitted with a mistake fails everywhere and must not eat the fleet.
 pub const FAILED_FIRST_MS: u64 = 1_000;
@@ -178,7 +178,7 @@
 pub const PROGRESS_EVERY_MS: u64 = 500;
 pub const PROGRESS_EVERY_CHANGES: f64 = 30.0;
 /// Between two passes over open rounds and over the fleet, ms.
-pub const UPKEEP_EVERY_MS: u64 = 1000;
+pub const HOUSEKEEPING_EVERY_MS: u64 = 1000;
 /// Between two passes that rent, while more is wanted than one pass has asked for, ms: the calls
 /// are what limits it.
 pub const RENT_EVERY_MS: u64 = 200;
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -521,7 +521,7 @@
         self.lead_when_due();
         self.load_when_due();
         if self.leader().is_some_and(|l| l.loading.is_none()) {
-            self.keep_machines();
+            self.housekeep_machines_when_due();
             self.keep_rounds();
             self.place_when_due();
             self.write_ends_when_due();
--- /dev/null
+++ b/src/engine/provisioning/renting.rs
@@ -0,0 +1,193 @@
+//! Renting: how many machines of which offers are requested from the cloud.
+
+use super::{Offer, Refusal, waiting_tasks};
+use crate::cloud::{CloudCall, CloudError, CloudReply};
+use crate::constants as k;
+use crate::engine::{Engine, Leader, Op, Role};
+use crate::fleet::{self, Wanted};
+use crate::model::{Job, Machine, MachineId, MachinePhase, Ms, Phase, Resources};
+use crate::placement::Candidate;
+use crate::wire::cloud::Rent;
+use std::collections::BTreeMap;
+
+impl Engine {
+    /// Shortly after a take-over, while many machines that surely are up have yet to report here:
+    /// their room is not known. (Renting at once, a new leader doubled the fleet. Waiting for the
+    /// last of them, which may be dead, leaders that ended every twelve seconds never rented, and
+    /// a gang waited for four minutes.)
+    pub(super) fn awaits_first_reports(&self) -> bool {
+        let Some(leader) = self.leader() else {
+            return false;
+        };
+        if self.now >= leader.since + k::SETTLE_MS + 2 * self.timing.report {
+            return false;
+        }
+        let (mut up, mut unheard) = (0, 0);
+        for machine in leader.machines.values() {
+            match machine.phase {
+                MachinePhase::Up => up += 1,
+                MachinePhase::Booting if !self.is_booting(machine) => unheard += 1,
+                _ => {}
+            }
+        }
+        unheard * k::UNHEARD_PART > up + unheard
+    }
+
+    /// The machines to rent, and the idle ones to keep, for waiting and for expected jobs.
+    pub(super) fn wanted_machines(&self, candidates: &[Candidate<'_>]) -> Wanted {
+        let (Some(leader), Some(types)) = (self.leader(), &self.types) else {
+            return Wanted::default();
+        };
+        let expected = self.expected_jobs();
+        let demand = leader.provisioning.demand.iter();
+        let waiting = demand.filter_map(|unplaced| {
+            let candidate = candidates.iter().find(|c| *c.id == unplaced.job)?;
+            Some(waiting_tasks(candidate, unplaced.tasks))
+        });
+        let copies = expected.iter().map(|job| fleet::Waiting {
+            job,
+            tasks: job.spec.tasks,
+            zones: BTreeMap::new(),
+        });
+        let waiting: Vec<fleet::Waiting<'_>> = waiting.chain(copies).collect();
+        let smallest_need = waiting
+            .iter()
+            .map(|one| one.job.spec.need)
+            .reduce(Resources::least_of)
+            .unwrap_or_default();
+        let slots = leader
+            .machines
+            .with_room(smallest_need, |m| self.is_expected(m));
+        let refused = leader.provisioning.refused_offers(self.now);
+        let offers = fleet::offers(types, &refused, self.settings.operator.spot);
+        fleet::wanted(&waiting, slots, types, &offers, self.rentable_machines())
+    }
+
+    /// Jobs to be expected while a machine boots, by what arrived lately.
+    fn expected_jobs(&self) -> Vec<Job> {
+        let Some(types) = &self.types else {
+            return Vec::new();
+        };
+        let objectives = &self.settings.cluster.objectives;
+        self.arrivals
+            .expected(self.wall, types, objectives)
+            .into_iter()
+            .map(|spec| Job::new(spec, 0, 0, Phase::Open, self.now))
+            .collect()
+    }
+
+    /// How many more machines the operators' bound allows.
+    fn rentable_machines(&self) -> u64 {
+        let rented = self.leader().map_or(0, |l| l.machines.len() as u64);
+        match self.settings.operator.most_machines {
+            0 => u64::MAX,
+            most => most.saturating_sub(rented),
+        }
+    }
+
+    /// Requests machines, as many calls as the cloud takes in a second; what is left is asked for
+    /// in a pass soon after.
+    pub(super) fn rent_machines(&mut self, rent: BTreeMap<Offer, u64>) {
+        let calls_at_once = (self.settings.cluster.cloud.rps as usize).max(1);
+        let calls = rental_calls(rent);
+        let more = calls.len() > calls_at_once;
+        for (offer, count) in calls.into_iter().take(calls_at_once) {
+            self.request_machines(offer, count, more);
+        }
+    }
+
+    fn request_machines(&mut self, offer: Offer, count: u64, more: bool) {
+        let now = self.now;
+        let Some(leader) = self.leader_mut() else {
+            return;
+        };
+        let term = leader.term;
+        let provisioning = &mut leader.provisioning;
+        provisioning.request_count += 1;
+        provisioning.rentals_in_flight += 1;
+        if more {
+            provisioning.next_rental_at = now + k::RENT_EVERY_MS;
+        }
+        tracing::info!(
+            machine_type = %offer.machine_type, zone = %offer.zone, spot = offer.spot, count, "renting"
+        );
+        // Unique by the term and a count: never used before, by whatever node.
+        let rent = Rent {
+            request: format!("t{term}-{}", provisioning.request_count),
+            machine_type: offer.machine_type.to_string(),
+            zone: offer.zone.to_string(),
+            spot: offer.spot,
+            count,
+        };
+        self.cloud(Op::Rent(offer), CloudCall::Rent(rent));
+    }
+
+    /// The outcome of a rental request.
+    pub(in crate::engine) fn on_rented(
+        &mut self,
+        offer: Offer,
+        result: Result<CloudReply, CloudError>,
+    ) {
+        let now = self.now;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let provisioning = &mut leader.provisioning;
+        provisioning.rentals_in_flight = provisioning.rentals_in_flight.saturating_sub(1);
+        match result {
+            Ok(CloudReply::Rented(names)) => add_rented_machines(leader, &offer, &names, now),
+            Ok(_) => {}
+            Err(CloudError::NoCapacity) => note_refusal(leader, offer, now),
+            Err(CloudError::Failed(why)) => {
+                // If it was executed all the same, its machines show up in the list.
+                tracing::info!("renting failed: {why}");
+                provisioning.next_rental_at = now + k::RETRY_MOST_MS;
+            }
+        }
+    }
+}
+
+fn add_rented_machines(leader: &mut Leader, offer: &Offer, names: &[String], now: Ms) {
+    leader.provisioning.refusals.remove(offer);
+    for name in names {
+        let id = MachineId::from(&**name);
+        let machine = leader.machines.get_or_insert_with(id, |id| {
+            Machine::new(
+                id,
+                offer.machine_type.clone(),
+                offer.zone.clone(),
+                offer.spot,
+                now,
+            )
+        });
+        machine.vouched = true;
+    }
+}
+
+/// Leaves an offer alone for a time that doubles with each refusal in a row.
+fn note_refusal(leader: &mut Leader, offer: Offer, now: Ms) {
+    let refusals = &mut leader.provisioning.refusals;
+    let last_pause = refusals.get(&offer).map_or(0, |refusal| refusal.pause);
+    let pause = (last_pause * 2).clamp(k::REFUSED_FIRST_MS, k::REFUSED_MOST_MS);
+    tracing::info!(
+        machine_type = %offer.machine_type, zone = %offer.zone, spot = offer.spot, pause, "no capacity"
+    );
+    let until = now + pause;
+    refusals.insert(offer, Refusal { until, pause });
+    leader.dirty = true;
+}
+
+/// One call for each offer, then the second for each that wants more than one call may rent.
+fn rental_calls(rent: BTreeMap<Offer, u64>) -> Vec<(Offer, u64)> {
+    let mut calls = Vec::new();
+    let mut left: Vec<(Offer, u64)> = rent.into_iter().collect();
+    while !left.is_empty() {
+        for (offer, count) in &mut left {
+            let in_this_call = k::RENT_MOST.min(*count);
+            *count -= in_this_call;
+            calls.push((offer.clone(), in_this_call));
+        }
+        left.retain(|(_, count)| *count > 0);
+    }
+    calls
+}
--- /dev/null
+++ b/src/engine/provisioning/returning.rs
@@ -0,0 +1,71 @@
+//! Returning: gives machines back to the cloud, and takes its answer as proof that their tasks
+//! are gone.
+
+use super::Offer;
+use crate::cloud::{CloudCall, CloudError, CloudReply};
+use crate::constants as k;
+use crate::engine::{Engine, Op, Role};
+use crate::model::{Machine, MachineId, MachinePhase};
+
+impl Engine {
+    /// Asks the cloud to take machines back. They and everything on them are gone only when it
+    /// says so; until then their tasks count as running.
+    pub(super) fn return_machines(&mut self) {
+        let confident = self.confident();
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if !confident || !leader.provisioning.returns.due(self.now) {
+            return;
+        }
+        let returning = |m: &&Machine| m.phase == MachinePhase::Returning;
+        let machines: Vec<MachineId> = leader
+            .machines
+            .values()
+            .filter(returning)
+            .take(k::RETURN_MOST)
+            .map(|m| m.id.clone())
+            .collect();
+        if !machines.is_empty() {
+            leader.provisioning.returns.busy = true;
+            let names = machines.iter().map(ToString::to_string).collect();
+            self.cloud(Op::Return(machines), CloudCall::Return(names));
+        }
+    }
+
+    /// The outcome of a return call.
+    pub(in crate::engine) fn on_returned(
+        &mut self,
+        machines: Vec<MachineId>,
+        result: Result<CloudReply, CloudError>,
+    ) {
+        let now = self.now;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if let Err(why) = result {
+            tracing::info!("returning failed: {why}");
+            leader.provisioning.returns.failed(now, &mut self.rng);
+            return;
+        }
+        leader.provisioning.returns.worked(now);
+        leader.dirty = true;
+        let mut lost_tasks = Vec::new();
+        for id in machines {
+            if let Some(machine) = leader.machines.remove(&id) {
+                // What was given back can be had again.
+                leader.provisioning.refusals.remove(&Offer {
+                    machine_type: machine.machine_type,
+                    zone: machine.zone,
+                    spot: machine.spot,
+                });
+                lost_tasks.extend(machine.tasks);
+            }
+            leader.gone.insert(id, ());
+        }
+        for task in lost_tasks {
+            tracing::info!(%task, "task lost with its machine");
+            self.lose(&task);
+        }
+    }
+}
--- a/src/engine/reports.rs
+++ b/src/engine/reports.rs
@@ -175,7 +175,7 @@
         let (now, lease) = (self.now, self.timing.worker_lease);
         // Not at each report: there may be thousands of both.
         if now >= self.sent_on_at {
-            self.sent_on_at = now + k::UPKEEP_EVERY_MS;
+            self.sent_on_at = now + k::HOUSEKEEPING_EVERY_MS;
             self.sent_on.retain(|_, s| s.counts(now, lease));
         }
         let id = MachineId::from(machine);
@@ -368,7 +368,7 @@
                     // They complete together; what does not is stopped.
                     job.stop_all(0, now);
                 }
-                self.blame(machine, failed_on);
+                self.attribute_failures(machine, failed_on);
                 if over {
                     tracing::debug!(job = %id.job, "all tasks done");
                 }
@@ -401,14 +401,14 @@
         let job = job.clone();
         if let Some(m) = self.leader_mut().and_then(|l| l.machines.get_mut(machine)) {
             m.failed_jobs.insert(job);
-            if m.failed_jobs.len() >= k::SICK_AFTER {
-                put_aside(m);
+            if m.failed_jobs.len() >= k::QUARANTINE_AFTER_JOBS {
+                quarantine(m);
             }
         }
     }
 
     /// A job has completed a task on `good`: machines on which it failed are at fault.
-    fn blame(&mut self, good: &MachineId, failed_on: BTreeSet<MachineId>) {
+    fn attribute_failures(&mut self, good: &MachineId, failed_on: BTreeSet<MachineId>) {
         let Some(leader) = self.leader_mut() else {
             return;
         };
@@ -417,7 +417,7 @@
         }
         for id in failed_on {
             if let Some(m) = leader.machines.get_mut(&id).filter(|_| id != *good) {
-                put_aside(m);
+                quarantine(m);
             }
         }
     }
@@ -658,9 +658,9 @@
     Some(Effect::Orders { addr, orders })
 }
 
-fn put_aside(machine: &mut Machine) {
-    if !machine.aside {
-        tracing::info!(machine = %machine.id, "machine put aside: tasks fail on it");
-        machine.aside = true;
+fn quarantine(machine: &mut Machine) {
+    if !machine.quarantined {
+        tracing::info!(machine = %machine.id, "machine quarantined: tasks fail on it");
+        machine.quarantined = true;
     }
 }
--- a/src/engine/rounds.rs
+++ b/src/engine/rounds.rs
@@ -355,7 +355,7 @@
         if now < leader.rounds.keep_at {
             return;
         }
-        leader.rounds.keep_at = now + k::UPKEEP_EVERY_MS;
+        leader.rounds.keep_at = now + k::HOUSEKEEPING_EVERY_MS;
         let jobs = &self.jobs;
         let over: Vec<u64> = leader
             .rounds
--- a/src/model/machine.rs
+++ b/src/model/machine.rs
@@ -84,8 +84,8 @@
     pub images: VecDeque<(Arc<str>, f64)>,
     /// Jobs whose tasks failed here since a task last completed.
     pub failed_jobs: BTreeSet<JobId>,
-    /// Put aside for failing or for being slow.
-    pub aside: bool,
+    /// Takes nothing more, because tasks fail on it; returned when empty.
+    pub quarantined: bool,
     /// Since when it holds nothing.
     pub idle_since: Ms,
 }
@@ -113,7 +113,7 @@
             strays: BTreeSet::new(),
             images: VecDeque::new(),
             failed_jobs: BTreeSet::new(),
-            aside: false,
+            quarantined: false,
             idle_since: now,
         }
     }
@@ -160,7 +160,7 @@
     pub fn takes_tasks(&self) -> bool {
         self.phase == MachinePhase::Up
             && self.heard
-            && !self.aside
+            && !self.quarantined
             && self.taken_at.is_none()
             && self.strays.is_empty()
     }
