--- a/src/constants.rs
+++ b/src/constants.rs
@@ -111,9 +111,9 @@
 
 /// How long a worker waits for the answer to its report, ms, by the protocol.
 pub const WORKER_WAIT_MS: u64 = 4_000;
-/// Workers remembered that were sent on to a leader that can't be heard: twice the largest
+/// Workers remembered that were redirected to a leader that can't be heard: twice the largest
 /// fleet; any more are treated as if they came for the first time.
-pub const SENT_ON_MOST: usize = 4096;
+pub const REDIRECTS_MOST: usize = 4096;
 /// A node that has not learnt the machine types for this long after its start, ms, serves users'
 /// questions without them: usually the first call tells, and until then others serve better.
 pub const TYPES_PATIENCE_MS: u64 = 10_000;
--- a/src/engine/leadership.rs
+++ b/src/engine/leadership.rs
@@ -82,8 +82,8 @@
     /// For how long after its last news a leader still answers reports. One that hears no peer
     /// either has more likely lost its own connections than lived through an outage: its
     /// successor is at work by then and waits for the workers, so it lets them go sooner. (A
-    /// deputy sends its workers on now and then and need not: in a zone that is cut off, what
-    /// they run would end for nothing.)
+    /// follower that serves workers for the leader redirects them now and then and need not: in a
+    /// zone that is cut off, what they run would end for nothing.)
     fn leaders_grace(&self) -> Ms {
         match self.is_alone() {
             true => self.timing.grace / 2,
@@ -95,7 +95,7 @@
     /// that it leads, and it can't be heard. Whoever can't reach it from here is answered only
     /// to keep its lease and to be told of cancellations; the right ends, as the leader's own
     /// does, with the grace after the last proof of knowing all cancellations.
-    pub(super) fn deputy_for(&self) -> Option<&Holder> {
+    pub(super) fn unreachable_leader(&self) -> Option<&Holder> {
         let holder = self
             .holder
             .as_ref()
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -276,16 +276,17 @@
     pipelines: pipelines::Pipelines,
     arrivals: crate::fleet::Arrivals,
     /// Reports whose answers wait for the end of the step, or for a round that is being written.
-    held: Vec<reports::Held>,
+    pending_answers: Vec<reports::PendingAnswer>,
     /// Records that could not be read: left alone.
     unreadable: BTreeSet<String>,
     role: Role,
     campaign: Retry,
     /// Highest term heard of, from any source.
     term_heard: u64,
-    /// Workers of a leader that can't be heard from here.
-    sent_on: BTreeMap<MachineId, reports::SentOn>,
-    sent_on_at: Ms,
+    /// Workers of a leader that can't be reached from here.
+    redirects: BTreeMap<MachineId, reports::Redirect>,
+    /// Time of the next removal of old redirects, ms.
+    next_redirect_cleanup: Ms,
     /// When each peer was last heard of, and whether the state service answers it.
     peers: BTreeMap<String, (Ms, bool)>,
 }
@@ -311,13 +312,13 @@
             jobs: BTreeMap::new(),
             pipelines: pipelines::Pipelines::default(),
             arrivals: crate::fleet::Arrivals::default(),
-            held: Vec::new(),
+            pending_answers: Vec::new(),
             unreadable: BTreeSet::new(),
             role: Role::Follower,
             campaign: Retry::default(),
             term_heard: 0,
-            sent_on: BTreeMap::new(),
-            sent_on_at: 0,
+            redirects: BTreeMap::new(),
+            next_redirect_cleanup: 0,
             peers: BTreeMap::new(),
         }
     }
@@ -344,7 +345,7 @@
             }
         }
         self.on_time();
-        self.answer_held();
+        self.answer_pending_reports();
         std::mem::take(&mut self.out)
     }
 
--- a/src/engine/rounds.rs
+++ b/src/engine/rounds.rs
@@ -108,7 +108,7 @@
             .leader()
             .into_iter()
             .flat_map(|l| l.machines.values())
-            .flat_map(|m| m.strays.iter().map(|(task, _)| &task.job))
+            .flat_map(|m| m.orphaned_tasks.iter().map(|(task, _)| &task.job))
             .collect();
         let mut candidates: Vec<Candidate<'_>> = self
             .jobs
@@ -315,7 +315,7 @@
         let machines: BTreeSet<MachineId> = machines.collect();
         leader.rounds.open.insert(writing.number, writing.round);
         for machine in machines {
-            self.ring(&machine);
+            self.request_report(&machine);
         }
     }
 
--- a/src/model/machine.rs
+++ b/src/model/machine.rs
@@ -64,7 +64,7 @@
     /// The highest token it has seen or been sent in this leader's term.
     pub token: Token,
     /// When it was last sent a higher token to make it report.
-    pub rung: Option<Ms>,
+    pub report_requested: Option<Ms>,
     /// When its newest report came in: by itself no sign of life, since reports come late, and
     /// come from machines that our answers don't reach.
     pub received: Ms,
@@ -79,7 +79,7 @@
     /// Tasks placed on it.
     pub tasks: BTreeSet<TaskId>,
     /// Tasks it reports that are not placed there, with their attempts: they are being stopped.
-    pub strays: BTreeSet<(TaskId, u64)>,
+    pub orphaned_tasks: BTreeSet<(TaskId, u64)>,
     /// Images it has, most recently used last.
     pub images: VecDeque<(Arc<str>, f64)>,
     /// Jobs whose tasks failed here since a task last completed.
@@ -103,14 +103,14 @@
             seen: now,
             seq_no: SeqNo::default(),
             token: Token::default(),
-            rung: None,
+            report_requested: None,
             received: now,
             heard: false,
             direct: 0,
             vouched: false,
             taken_at: None,
             tasks: BTreeSet::new(),
-            strays: BTreeSet::new(),
+            orphaned_tasks: BTreeSet::new(),
             images: VecDeque::new(),
             failed_jobs: BTreeSet::new(),
             quarantined: false,
@@ -151,9 +151,9 @@
         }
     }
 
-    /// Whether nothing is on it, placed or stray.
+    /// Whether nothing is on it, placed or orphaned.
     pub fn is_empty(&self) -> bool {
-        self.tasks.is_empty() && self.strays.is_empty()
+        self.tasks.is_empty() && self.orphaned_tasks.is_empty()
     }
 
     /// Whether it takes new tasks, apart from room.
@@ -162,6 +162,6 @@
             && self.heard
             && !self.quarantined
             && self.taken_at.is_none()
-            && self.strays.is_empty()
+            && self.orphaned_tasks.is_empty()
     }
 }
