--- a/src/engine/rounds/housekeeping.rs
+++ b/src/engine/rounds/housekeeping.rs
@@ -1,9 +1,9 @@
 //! Housekeeping of rounds: starts that stall are undone, and records that nobody needs are removed.
 
-use super::super::records::{self, ROUNDS};
-use super::super::{Engine, Op, Retry, Role};
 use super::Round;
 use crate::constants as k;
+use crate::engine::records::{self, ROUNDS};
+use crate::engine::{Engine, Op, Retry, Role};
 use crate::model::{Job, JobId, Ms, Stage, TaskId};
 use crate::store::{StoreCall, StoreError, StoreReply};
 use std::collections::BTreeMap;
@@ -43,7 +43,7 @@
 
 impl Engine {
     /// Undoes starts that stall, and has records of finished rounds removed.
-    pub(in super::super) fn reconcile_rounds(&mut self) {
+    pub(in crate::engine) fn reconcile_rounds(&mut self) {
         self.search_orphaned_rounds();
         let now = self.now;
         let Some(leader) = self.leader_mut() else {
@@ -52,7 +52,7 @@
         if now < leader.rounds.housekeeping_at {
             return;
         }
-        leader.rounds.housekeeping_at = now + k::UPKEEP_EVERY_MS;
+        leader.rounds.housekeeping_at = now + k::HOUSEKEEPING_EVERY_MS;
         self.close_rounds();
         // A job that had to wait after a failure becomes due by time alone, with no event.
         let waits = |job: &Job| job.is_open() && !job.pending.is_empty();
@@ -121,7 +121,7 @@
         self.store(Op::OrphanedRounds, call);
     }
 
-    pub(in super::super) fn on_rounds_listed(&mut self, result: Result<StoreReply, StoreError>) {
+    pub(in crate::engine) fn on_rounds_listed(&mut self, result: Result<StoreReply, StoreError>) {
         let now = self.now;
         let Role::Leader(leader) = &mut self.role else {
             return;
--- a/src/engine/rounds/mod.rs
+++ b/src/engine/rounds/mod.rs
@@ -8,7 +8,7 @@
 
 use super::Engine;
 use crate::constants as k;
-use crate::model::{JobId, MachineId, Resources};
+use crate::model::{JobId, MachineId, Ms, Resources};
 use crate::placement::{self, Bounds, Candidate, Plan, Teams};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -50,7 +50,7 @@
     writing: BTreeMap<u64, Writing>,
     /// Rounds of this term so far.
     count: u64,
-    housekeeping_at: u64,
+    housekeeping_at: Ms,
     orphans: housekeeping::OrphanSearch,
 }
 
@@ -136,11 +136,11 @@
     /// Jobs that may start tasks now, in the order in which they are served.
     pub(super) fn candidates(&self) -> Vec<Candidate<'_>> {
         let guaranteed = self.guaranteed();
-        let strays: BTreeSet<&JobId> = self
+        let orphaned: BTreeSet<&JobId> = self
             .leader()
             .into_iter()
             .flat_map(|l| l.machines.values())
-            .flat_map(|m| m.strays.iter().map(|(task, _)| &task.job))
+            .flat_map(|m| m.orphaned_tasks.iter().map(|(task, _)| &task.job))
             .collect();
         let mut candidates: Vec<Candidate<'_>> = self
             .jobs
@@ -150,7 +150,7 @@
                     && !job.pending.is_empty()
                     && job.not_before <= self.now
                     // No task of a job starts while a machine still has one that is unaccounted for.
-                    && !strays.contains(id)
+                    && !orphaned.contains(id)
                     // A gang restarts only when its last attempt is surely gone.
                     && (!job.is_gang() || job.live.is_empty())
             })
--- a/src/engine/rounds/writing.rs
+++ b/src/engine/rounds/writing.rs
@@ -8,10 +8,10 @@
 //! versions of the round's jobs. So none can succeed after the job was cancelled, or after another
 //! node became leader, however late it is carried out.
 
-use super::super::records::{self, JOBS, LEAD, RoundRecord};
-use super::super::{Engine, Op, Retry, Role};
 use super::{Round, RoundPart, Rounds, StartGroup};
 use crate::constants as k;
+use crate::engine::records::{self, JOBS, LEAD, RoundRecord};
+use crate::engine::{Engine, Op, Retry, Role};
 use crate::model::{JobId, MachineId, Placement, Stage, TaskId};
 use crate::placement::Start;
 use crate::store::{StoreCall, StoreError, StoreReply};
@@ -216,7 +216,7 @@
         }
     }
 
-    pub(in super::super) fn on_round_written(
+    pub(in crate::engine) fn on_round_written(
         &mut self,
         number: u64,
         result: Result<StoreReply, StoreError>,
@@ -335,7 +335,7 @@
         tracing::debug!(number, parts = writing.round.parts.len(), "round written");
         leader.rounds.open.insert(number, writing.round);
         for machine in machines {
-            self.ring(&machine);
+            self.request_report(&machine);
         }
     }
 
