Tests: late reports, late lists, an earlier office's placements, an overtaken watch

No test failed when these guards were taken out.

Not caught: of the two calls of forget_placements, at the end of an office and at the start of the next, either alone suffices for the test; and the condition in on_refreshed that the changes join what is known. The test world can now answer the cloud's lists late.

--- /dev/null
+++ b/src/engine/tests/guards.rs
@@ -0,0 +1,123 @@
+//! Guards that matter only when messages cross: each test fails if its guard is taken out.
+
+use super::world::World;
+use super::{ends_well, quick, world_with};
+use crate::engine::records;
+use crate::wire::user::{JobState, Kind};
+
+/// How often the machine was returned.
+fn returns(world: &World, machine: &str) -> usize {
+    let same = |name: &&String| name.as_str() == machine;
+    world.returned.iter().filter(same).count()
+}
+
+/// One machine has done its work and has been idle for nearly as long as it is kept.
+fn world_with_one_idle_machine() -> (World, String) {
+    let mut world = world_with(vec![quick("run-1", Kind::Array, 1)]);
+    ends_well(&mut world, "run-1", 60_000);
+    let machines: Vec<String> = world.workers.keys().cloned().collect();
+    assert_eq!(machines.len(), 1);
+    (world, machines[0].clone())
+}
+
+/// Guards against room of a machine that has been returned: a report with the leader's own token
+/// arrives after the return was answered, and brought the machine back as one that is up. Work placed
+/// there waited until it was found silent, and it was returned again.
+#[test]
+fn a_late_report_brings_no_returned_machine_back() {
+    let (mut world, machine) = world_with_one_idle_machine();
+    let mut reports = world.reports(&machine);
+    // The others name a lower token, or a task.
+    reports.drain(..reports.len() - 1);
+    assert!(world.run_until(120_000, |w| returns(w, &machine) == 1));
+    world.run(1_000);
+    world.repeat_reports(&reports);
+    world.submit(quick("run-2", Kind::Array, 1));
+    // A machine boots in 20 s.
+    assert!(
+        world.run_until(24_000, |w| w.begun.contains("run-2")),
+        "{}",
+        world.describe()
+    );
+    ends_well(&mut world, "run-2", 60_000);
+    assert_eq!(returns(&world, &machine), 1);
+}
+
+/// The same of the cloud's list, made before a return and answered after it.
+#[test]
+fn a_list_answered_late_brings_no_returned_machine_back() {
+    let (mut world, machine) = world_with_one_idle_machine();
+    // Longer than the pause between two lists: one is under way whenever a machine is returned.
+    world.faults.slow_list = 7_000;
+    assert!(world.run_until(120_000, |w| returns(w, &machine) == 1));
+    world.run(60_000);
+    assert_eq!(returns(&world, &machine), 1);
+}
+
+/// Guards against placements of an earlier office: what they name has ended under another leader, and
+/// no round tells of it any more. The task counted as placed for ever.
+#[test]
+fn a_node_that_leads_again_has_forgotten_what_it_had_placed() {
+    let mut world = world_with(vec![quick("run-1", Kind::Service, 1)]);
+    assert!(world.run_until(60_000, |w| w.running("run-1") == 1));
+    let first = world.leader().unwrap();
+    world.faults.store_refuses.insert(first);
+    assert!(world.run_until(20_000, |w| {
+        w.leader().is_some_and(|leader| leader != first)
+    }));
+    world.faults.store_refuses.clear();
+    world.run(5_000);
+    let machine = world.machine_of("run-1").unwrap();
+    world.faults.hung.insert(machine.clone());
+    world.faults.capacity = Some(0);
+    assert!(world.run_until(60_000, |w| returns(w, &machine) == 1));
+    assert!(world.run_until(20_000, |w| w.keys(records::ROUNDS) == 0));
+    for node in (0..3).filter(|node| *node != first) {
+        world.crash(node);
+    }
+    world.faults.capacity = None;
+    assert!(world.run_until(20_000, |w| w.leader() == Some(first)));
+    assert!(
+        world.run_until(60_000, |w| w.running("run-1") == 1),
+        "{}",
+        world.describe()
+    );
+    assert_eq!(world.starts, 2);
+    assert_eq!(world.broken, Vec::<String>::new());
+}
+
+/// Guards against an answer of the watch that a newer one has overtaken: taken in, it set the node
+/// back to the older revision, and a question whose news came after the newer one got no answer.
+#[test]
+fn an_answer_of_the_watch_that_was_overtaken_changes_nothing() {
+    const LATE: u64 = 900;
+    for offset in [0, 130, 260, 390] {
+        let mut first = quick("run-1", Kind::Service, 1);
+        first.estimate_s = 300.0;
+        let mut second = quick("run-2", Kind::Array, 1);
+        second.awaits = vec!["run-1".into()];
+        let mut world = world_with(vec![first, second]);
+        world.run(20_000);
+        // Nobody writes the dependant's end.
+        let leader = world.leader().unwrap();
+        world.crash(leader);
+        let node = (leader + 1) % 3;
+        world.run(offset);
+        world.faults.slow_watch.insert(node, LATE);
+        // The watch tells of this, late.
+        world.submit(quick("run-3", Kind::Array, 1));
+        world.faults.slow_watch.clear();
+        world.cancel("run-1");
+        let sent = world.now;
+        let cancelled = Some(JobState::Cancelled);
+        assert_eq!(world.step_state(node, "run-2"), cancelled);
+        world.run(sent + LATE - 20 - world.now);
+        // What answers this question comes after the watch's answer.
+        world.faults.slow_watch.insert(node, 60);
+        assert_eq!(
+            world.step_state(node, "run-2"),
+            cancelled,
+            "offset {offset}"
+        );
+    }
+}
--- a/src/engine/tests/world.rs
+++ b/src/engine/tests/world.rs
@@ -17,6 +17,7 @@
 use std::sync::Arc;
 
 const LATENCY: Ms = 5;
+const CLOUD_LATENCY: Ms = 80;
 const BOOT: Ms = 20_000;
 const FETCH: Ms = 8_000;
 const WORKER_LEASE: Ms = 17_000;
@@ -68,6 +69,8 @@
     pub slow_watch: BTreeMap<usize, Ms>,
     /// The state service lists no work and no rounds.
     pub no_records: bool,
+    /// The cloud's lists are answered this much later than they are made, ms.
+    pub slow_list: Ms,
 }
 
 #[derive(Default)]
@@ -661,11 +664,13 @@
                 }
             }
             Effect::Cloud { op, call } => {
+                let slow = match call {
+                    CloudCall::List { .. } => self.faults.slow_list,
+                    _ => 0,
+                };
                 let result = self.cloud_call(call);
-                self.at(
-                    80,
-                    Ev::Command(node, epoch, Command::CloudDone { op, result }),
-                );
+                let command = Command::CloudDone { op, result };
+                self.at(CLOUD_LATENCY + slow, Ev::Command(node, epoch, command));
             }
             Effect::Orders { addr, orders } => {
                 let name = format!("host-{:06}", addr.port());
