A leader that gives up office forgets its calls; cancellation forward in every order

Fault: a leader wrote the end of a step, gave up office before the answer, and so forgot that the step was done. The answer then found an open job and took its end for a cancellation: the node called the jobs that need it aborted, and would have written that if it led again. step_down now drops the outcomes of the office's calls, as taking office always did. an_end_answered_after_the_office_cancels_nobody failed before (a dependant of a finished step was called cancelled) and fails with the line taken out.

Seen failing, one taken out at a time: an answer waits for news newer than the question; a refresh that is under way does not count as newer; a cancelled job's record decides about those that need it; no answer while an end is unknown. Not caught: that a cancelled job's end is noted when its record goes (the final record is read instead), and that a refresh must join what is known.

The test world can delay answers of the state service by node, and every message by a time of its own.

--- a/src/engine/leadership.rs
+++ b/src/engine/leadership.rs
@@ -256,6 +256,9 @@
         if let Role::Leader(leader) = &self.role {
             tracing::info!(term = leader.term, "gave up office: {why}");
             let lease = leader.lease;
+            // Outcomes that come in later would meet jobs of which no placement and no end is known
+            // any more: the end of one that is done once counted as its cancellation.
+            self.ops.retain(|_, op| !op.is_leaders());
             self.store(Op::Forgotten, StoreCall::Drop { lease });
             self.role = Role::Follower;
             self.forget_placements();
--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -1,5 +1,6 @@
 //! The engine in a scripted world, under a fake clock.
 
+mod cancellation_forward;
 mod guards;
 mod large;
 mod meetings;
--- a/src/engine/tests/world.rs
+++ b/src/engine/tests/world.rs
@@ -13,6 +13,8 @@
 use crate::wire::store as ws;
 use crate::wire::user::{Job, JobState, Kind};
 use crate::wire::worker::{Order, Report, Task, TaskState, Why};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -71,6 +73,12 @@
     pub no_records: bool,
     /// The cloud's lists are answered this much later than they are made, ms.
     pub slow_list: Ms,
+    /// What these nodes call is answered this much later than it is carried out, ms.
+    pub slow_answers: BTreeMap<usize, Ms>,
+    /// Each message, report, order, call or answer, takes up to this much longer, ms, for itself: a
+    /// later one may overtake it. No more than 700: a call and its answer then stay within the
+    /// patience of those who wait for them.
+    pub slow_links: Ms,
 }
 
 #[derive(Default)]
@@ -129,6 +137,7 @@
     Tick(usize),
     Announce(usize),
     Store(usize, u64, u64, StoreCall),
+    Watch(Watch),
     Command(usize, u64, Command),
     Send(String),
     Receive(String, u64, Option<Reply>),
@@ -185,6 +194,8 @@
     pub value_max: usize,
     /// Further settings, after those of the state service.
     next: &'static str,
+    /// Decides how slow each message is; a test that varies it says so when it fails.
+    pub links: SmallRng,
 }
 
 fn settings(node: usize, nodes: usize, gpus_max: f64, next: &str) -> Settings {
@@ -242,6 +253,7 @@
             txn_ops: 24,
             value_max: 7 * 1024,
             next,
+            links: SmallRng::seed_from_u64(0),
         };
         for node in 0..nodes {
             let zone = settings(node, nodes, gpus_max, next).zone;
@@ -298,6 +310,20 @@
         self.queue.insert((self.now + delay, self.order), ev);
     }
 
+    /// How long the next message takes.
+    fn link(&mut self) -> Ms {
+        match self.faults.slow_links {
+            0 => LATENCY,
+            most => LATENCY + self.links.random_range(0..=most),
+        }
+    }
+
+    /// A message arrives, after as long as its link takes.
+    fn deliver(&mut self, ev: Ev) {
+        let delay = self.link();
+        self.at(delay, ev);
+    }
+
     /// Any node's acceptance of a job.
     pub fn submit(&mut self, job: Job) {
         let record = JobRecord::new(job.clone(), self.now);
@@ -321,16 +347,33 @@
 
     /// What a node says of a job that waits for others; none if it can't say in time.
     pub fn step_state(&mut self, node: usize, id: &str) -> Option<JobState> {
+        let reply = self.ask_step(node, id);
+        self.run_until(1_500, |w| w.answers.contains_key(&reply));
+        match self.answer(reply) {
+            Some(Reply::Step(state)) => state,
+            _ => None,
+        }
+    }
+
+    /// Begins such a question.
+    pub fn ask_step(&mut self, node: usize, id: &str) -> ReplyId {
         self.order += 1;
         let reply = self.order;
         let job = id.into();
         let command = Command::Step { job, reply };
         self.step(node, self.nodes[node].epoch, Some(command));
-        self.run_until(1_500, |w| w.answers.contains_key(&reply));
-        match self.answers.remove(&reply) {
-            Some(Reply::Step(state)) => state,
-            _ => None,
-        }
+        reply
+    }
+
+    /// The answer to a question, once.
+    pub fn answer(&mut self, reply: ReplyId) -> Option<Reply> {
+        self.answers.remove(&reply)
+    }
+
+    /// A job's live record, read now.
+    pub fn live_record(&self, id: &str) -> Option<JobRecord> {
+        let (value, _, _) = self.store.keys.get(&records::job_key(id))?;
+        records::read_job(value.clone())
     }
 
     /// Which of these jobs a node does not know to have been accepted.
@@ -354,14 +397,17 @@
 
     /// Removes a record as somebody else does.
     pub fn remove(&mut self, key: &str) {
-        let txn = ws::Txn::default().delete(key);
-        self.commit(&txn).unwrap();
+        self.write(&ws::Txn::default().delete(key));
+    }
+
+    /// A transaction of somebody else.
+    pub fn write(&mut self, txn: &ws::Txn) {
+        self.commit(txn).unwrap();
     }
 
     /// Puts a record there that somebody else wrote.
     pub fn put(&mut self, key: &str, value: rmpv::Value) {
-        let txn = ws::Txn::default().put(key, value);
-        self.commit(&txn).unwrap();
+        self.write(&ws::Txn::default().put(key, value));
     }
 
     pub fn state(&self, id: &str) -> Option<JobState> {
@@ -561,12 +607,16 @@
                             store_ok: view.store_ok,
                         };
                         let epoch = self.nodes[to].epoch;
-                        self.at(LATENCY, Ev::Command(to, epoch, Command::Announced(said)));
+                        self.deliver(Ev::Command(to, epoch, Command::Announced(said)));
                     }
                 }
                 self.at(1000, Ev::Announce(from));
             }
             Ev::Store(node, epoch, op, call) => self.serve_store(node, epoch, op, &call),
+            Ev::Watch(watch) => {
+                self.store.watches.push(watch);
+                self.serve_watches();
+            }
             Ev::Command(node, epoch, command) => self.step(node, epoch, Some(command)),
             Ev::Send(name) => {
                 if self.workers.get(&name).is_some_and(|w| w.due == self.now) {
@@ -636,7 +686,7 @@
                     return;
                 };
                 if self.reaches(&worker, node) {
-                    self.at(LATENCY, Ev::Receive(worker, seq, Some(reply)));
+                    self.deliver(Ev::Receive(worker, seq, Some(reply)));
                 }
             }
             Effect::Store { op, call, .. } => {
@@ -646,19 +696,23 @@
                     wait_ms,
                 } = call
                 {
-                    let until = self.now + wait_ms;
-                    self.store.watches.push(Watch {
+                    let link = self.link() - LATENCY;
+                    let watch = Watch {
                         node,
                         epoch,
                         op,
                         prefix,
                         after,
-                        until,
-                    });
-                    return self.serve_watches();
+                        until: self.now + link + wait_ms,
+                    };
+                    return match link {
+                        0 => self.handle(Ev::Watch(watch)),
+                        delay => self.at(delay, Ev::Watch(watch)),
+                    };
                 }
-                let slow = self.faults.slow_calls.get(&node);
-                match self.faults.store_delay + slow.copied().unwrap_or(0) {
+                let slow = self.faults.slow_calls.get(&node).copied().unwrap_or(0);
+                let link = self.link() - LATENCY;
+                match self.faults.store_delay + slow + link {
                     0 => self.serve_store(node, epoch, op, &call),
                     delay => self.at(delay, Ev::Store(node, epoch, op, call)),
                 }
@@ -668,6 +722,7 @@
                     CloudCall::List { .. } => self.faults.slow_list,
                     _ => 0,
                 };
+                let slow = slow + self.link() - LATENCY;
                 let result = self.cloud_call(call);
                 let command = Command::CloudDone { op, result };
                 self.at(CLOUD_LATENCY + slow, Ev::Command(node, epoch, command));
@@ -675,7 +730,7 @@
             Effect::Orders { addr, orders } => {
                 let name = format!("host-{:06}", addr.port());
                 if self.connects(&name, node) {
-                    self.at(LATENCY, Ev::Direct(name, orders));
+                    self.deliver(Ev::Direct(name, orders));
                 }
             }
         }
@@ -724,7 +779,9 @@
             self.store_call(call)
         };
         let command = Command::StoreDone { op, result };
-        self.at(LATENCY, Ev::Command(node, epoch, command));
+        let slow = self.faults.slow_answers.get(&node).copied().unwrap_or(0);
+        let delay = self.link() + slow;
+        self.at(delay, Ev::Command(node, epoch, command));
         self.serve_watches();
     }
 
@@ -984,7 +1041,8 @@
             };
             let command = Command::StoreDone { op: w.op, result };
             let slow = self.faults.slow_watch.get(&w.node).copied().unwrap_or(0);
-            self.at(LATENCY + slow, Ev::Command(w.node, w.epoch, command));
+            let delay = self.link() + slow;
+            self.at(delay, Ev::Command(w.node, w.epoch, command));
         }
         self.store.watches = rest;
     }
@@ -1121,7 +1179,7 @@
             let reply = self.order;
             self.replies.insert(reply, (name.into(), seq));
             let command = Command::Report { report, reply };
-            self.at(LATENCY, Ev::Command(node, epoch, command));
+            self.deliver(Ev::Command(node, epoch, command));
         }
     }
 
