Tests: more work than room over slow links

The meeting was tested without slow links so far. Now each report, order, call and answer takes a seeded time of its own, up to 250, 600 or 700 ms (so that later ones overtake), with sixteen machines for one and a half times as much work, every other second's urgent, and a change of leader: the largest gang and array begin within four minutes of their submission, what is left is placed within 90 s of the end of the trouble, and no rule is broken; with room for all, nothing waits for 90 s although links are slow and leaders end.

Seen failing: without age before priority (is_aged) the first test fails. Not caught by these two: that reports older than a machine's last are not believed (other tests catch it), and that a start is not given up before a report newer than its sending.

--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -3,6 +3,7 @@
 mod cancellation_forward;
 mod guards;
 mod large;
+mod links;
 mod meetings;
 mod pipelines;
 mod world;
