--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -1,7 +1,10 @@
 //! The engine in a scripted world, under a fake clock.
 
+mod cancellation_forward;
+mod guards;
 mod large;
 mod large_gangs;
+mod links;
 mod meetings;
 mod pipelines;
 mod world;
