--- a/src/engine/ends.rs
+++ b/src/engine/ends.rs
@@ -223,7 +223,9 @@
                 *written = true;
                 JobState::Done
             }
-            _ => JobState::Cancelled,
+            Phase::Cancelled => JobState::Cancelled,
+            // What was written is not known any more: the final record tells.
+            Phase::Open => return,
         };
         self.pipelines.note_end(id, state);
         tracing::debug!(job = %id, phase = ?job.phase, "job is over");
--- a/src/engine/tests/large_gangs.rs
+++ b/src/engine/tests/large_gangs.rs
@@ -191,3 +191,26 @@
     assert_eq!(world.starts, 0);
     assert_eq!(world.broken, Vec::<String>::new());
 }
+
+/// A copy of a round's transaction is carried out after the round is over and its record removed, while
+/// the job still waits: tasks of it fail at once. The record that it leaves is found and removed without
+/// a change of leader.
+#[test]
+fn a_record_that_a_late_copy_leaves_is_found() {
+    let mut world = world();
+    world.submit(quick("run-1", Kind::Array, 1));
+    ends_well(&mut world, "run-1", 60_000);
+    // The image is there now, so that a start fails within seconds.
+    world.faults.faulty.insert("run-2".into());
+    world.faults.late_write = Some("rounds/");
+    world.submit(quick("run-2", Kind::Array, 1));
+    assert!(world.run_until(5_000, |w| w.faults.late_write.is_none()));
+    world.run(13_000);
+    let term = world.term();
+    world.faults.faulty.clear();
+    ends_well(&mut world, "run-2", 120_000);
+    world.run(3_000);
+    assert_eq!(world.keys("rounds/"), 1, "what the late copy has left");
+    assert!(world.run_until(90_000, |w| w.keys("rounds/") == 0));
+    assert_eq!(world.term(), term);
+}
--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -7,6 +7,7 @@
 mod links;
 mod meetings;
 mod pipelines;
+mod requirements;
 mod world;
 
 use crate::constants as k;
--- a/src/engine/watching.rs
+++ b/src/engine/watching.rs
@@ -73,6 +73,11 @@
         if !led {
             self.on_leader_gone(first);
         }
+        let listed = &self.listed;
+        self.unreadable.retain(|key| {
+            let id = key.strip_prefix(JOBS);
+            id.is_some_and(|id| listed.contains(&id.into()))
+        });
         let missing: Vec<JobId> = self
             .jobs
             .keys()
@@ -151,6 +156,7 @@
                 }
                 return;
             };
+            self.unreadable.remove(key);
             if record.waits() {
                 return self.pipelines.put(id, record, version);
             }
@@ -172,6 +178,7 @@
         if key == LEAD {
             self.on_leader_gone(version);
         } else if let Some(id) = key.strip_prefix(JOBS) {
+            self.unreadable.remove(key);
             self.on_job_removed(&id.into(), version);
         }
     }
