Test that fails: dependants of a cancelled job whose record can't be read stay queued

Engine::unreadable is never cleared, so the job counts as open after its live record is gone, and its final record is not read.

--- a/tests/pipelines_http.rs
+++ b/tests/pipelines_http.rs
@@ -456,6 +456,25 @@
     assert_eq!(user.ask("run-2").await, said(200, "queued"));
 }
 
+/// Guards against dependants that stay queued for ever: the awaited job, whose record can't be read, is
+/// cancelled, and only its final record is left.
+#[tokio::test]
+async fn a_job_is_cancelled_with_one_whose_record_could_not_be_read() {
+    let (user, service) = ready_node().await;
+    service.put_heard("live/job/run-1", "not a record".into());
+    let body = submission("run-2", "vision", &["run-1"]);
+    assert_eq!(user.submit(body).await, said(201, "queued"));
+    assert_eq!(user.ask("run-2").await, said(200, "queued"));
+    assert_eq!(user.cancel("run-1").await, said(200, "aborted"));
+    let told = async {
+        while user.ask("run-2").await != said(200, "aborted") {
+            tokio::task::yield_now().await;
+        }
+    };
+    let told = tokio::time::timeout(PATIENCE, told).await;
+    told.expect("cancelled in time");
+}
+
 /// Guards against a repeat that is judged anew: whatever it says, and whatever has become of the
 /// jobs that it names, the job stays accepted and its state is told.
 #[tokio::test]
