Settings and the API in modules of one job each; settings errors have a type

settings/mod.rs held the structs, their checks and the derived timing in 410 lines, with a check of 90 lines whose error was a pair of strings. The structs are in cluster.rs and team.rs, the checks in validation.rs, one function for each part and in the same order, with the error InvalidField, and the derived durations in timing.rs. The messages are the same to the letter.

api/mod.rs held everything that users reach in 556 lines. It keeps routes and handlers; submissions, cancellations, the reading of records and the building of responses have modules. Renamed: Known -> StoredJob, telling -> notifications, step_state -> waiting_state.

--- /dev/null
+++ b/src/api/submissions.rs
@@ -0,0 +1,184 @@
+//! Submissions: checked, then written to the state service under the condition that they are new.
+
+use super::Api;
+use super::lookup::StoredJob;
+use super::responses::{Answer, answer, refuse, unavailable};
+use crate::constants as k;
+use crate::engine::{self, Command, JobRecord, Reply};
+use crate::model::{JobId, Spec, Types};
+use crate::node::wall_ms;
+use crate::settings::Settings;
+use crate::store::{StoreCall, StoreError};
+use crate::wire::decode;
+use crate::wire::store::Txn;
+use crate::wire::user::{self, JobState, JobStatus, Kind};
+use axum::http::StatusCode;
+use rmpv::Value;
+
+impl Api {
+    pub(super) async fn submit(&self, body: &[u8]) -> Result<Answer, StoreError> {
+        let job = match read_job(body) {
+            Ok(job) => job,
+            Err(why) => return self.refuse_malformed(body, &why).await,
+        };
+        let record = JobRecord::new(job, wall_ms());
+        let value = engine::job_value(&record);
+        if engine::json_size(&value) + k::RECORD_SPARE > self.settings.value_max() {
+            let why = "models and awaits: too long together";
+            return self.refuse_malformed(body, why).await;
+        }
+        let Some(types) = self.view.borrow().types.clone() else {
+            return Ok(unavailable("machine types are not known yet"));
+        };
+        let id = &record.job.id;
+        if let Some(why) = self.reason_to_refuse(&record.job, &types).await? {
+            // A job that was accepted stays accepted, whatever its repetition says.
+            return match self.look_up(id).await? {
+                StoredJob::Never => Ok(refuse(StatusCode::UNPROCESSABLE_ENTITY, &why)),
+                stored => self.accepted(id, &stored).await,
+            };
+        }
+        if let Some((state, tasks)) = self.remembered(id) {
+            return self.accepted(id, &StoredJob::Final(state, tasks)).await;
+        }
+        self.store_submission(id, value).await
+    }
+
+    /// Why a well-formed job is refused, if it is.
+    async fn reason_to_refuse(
+        &self,
+        job: &user::Job,
+        types: &Types,
+    ) -> Result<Option<String>, StoreError> {
+        match can_run(job, &self.settings, types) {
+            Err(why) => Ok(Some(why)),
+            Ok(()) => self.reason_to_refuse_awaits(job).await,
+        }
+    }
+
+    /// Writes the record unless the job was accepted before.
+    async fn store_submission(&self, id: &str, value: Value) -> Result<Answer, StoreError> {
+        let (live, last) = (engine::job_key(id), engine::final_key(id));
+        let txn = Txn::default().when(&live, 0).when(last, 0).put(live, value);
+        match self.call(StoreCall::Commit(txn)).await {
+            Ok(_) => {
+                let status = JobStatus {
+                    id: id.to_owned(),
+                    state: JobState::Queued,
+                    done: None,
+                    running: None,
+                };
+                Ok(answer(StatusCode::CREATED, &status))
+            }
+            Err(StoreError::Conflict(_)) => {
+                let stored = self.look_up(id).await?;
+                self.accepted(id, &stored).await
+            }
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Refuses a malformed body, unless it names a job that was accepted before: that one must
+    /// not be disowned.
+    async fn refuse_malformed(&self, body: &[u8], why: &str) -> Result<Answer, StoreError> {
+        #[derive(serde::Deserialize)]
+        struct Named {
+            uid: String,
+        }
+        if let Ok(named) = decode::<Named>(body)
+            && user::valid_id(&named.uid)
+        {
+            match self.look_up(&named.uid).await? {
+                StoredJob::Never => {}
+                known => return self.accepted(&named.uid, &known).await,
+            }
+        }
+        Ok(refuse(StatusCode::BAD_REQUEST, why))
+    }
+
+    /// Answers with how a job stands that was accepted before.
+    pub(super) async fn accepted(&self, id: &str, known: &StoredJob) -> Result<Answer, StoreError> {
+        Ok(match self.status(id, known).await? {
+            Some(status) => answer(StatusCode::OK, &status),
+            // It was there a moment ago and a read missed it: ask again.
+            None => unavailable("changing"),
+        })
+    }
+
+    /// Why a job can't wait for what it awaits, if it names itself or one never accepted. One that
+    /// was accepted stays so: what the engine knows needs no fresh read.
+    async fn reason_to_refuse_awaits(&self, job: &user::Job) -> Result<Option<String>, StoreError> {
+        if job.awaits.contains(&job.id) {
+            return Ok(Some("awaits: names the job itself".into()));
+        }
+        if job.awaits.is_empty() {
+            return Ok(None);
+        }
+        let jobs: Vec<JobId> = job.awaits.iter().map(|id| (&**id).into()).collect();
+        let named = |reply| Command::Named {
+            jobs: jobs.clone(),
+            reply,
+        };
+        let unknown = match self.commands.ask(named).await {
+            Some(Reply::NotKnown(unknown)) => unknown,
+            _ => jobs.clone(),
+        };
+        for id in unknown {
+            if !self.was_accepted(&id.0).await? {
+                return Ok(Some(format!("awaits: {id} was never accepted")));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Whether a job was ever accepted. Most that the engine does not know are over: their final
+    /// record is looked for first, and again after the live one, from which a job moves there.
+    async fn was_accepted(&self, id: &str) -> Result<bool, StoreError> {
+        let over =
+            self.remembered(id).is_some() || self.get(engine::final_key(id)).await?.is_some();
+        Ok(over || !matches!(self.look_up(id).await?, StoredJob::Never))
+    }
+}
+
+/// Reads and checks the body of a submission; the error says what is wrong with it.
+fn read_job(body: &[u8]) -> Result<user::Job, String> {
+    let job = decode::<user::Job>(body).map_err(|e| e.to_string())?;
+    job.check()?;
+    Ok(job)
+}
+
+/// Whether the job could ever run: its team exists, a task fits an allowed machine type, and
+/// the least it needs at once is within the team's limit.
+fn can_run(job: &user::Job, settings: &Settings, types: &Types) -> Result<(), String> {
+    let Some(team) = settings.team(&job.team) else {
+        return Err(format!("crew: no team {:?}", job.team));
+    };
+    let spec = Spec::read(job);
+    let fits = types.values().any(|t| {
+        let zone_ok = t
+            .zones
+            .iter()
+            .any(|zone| spec.zone.as_ref().is_none_or(|z| z == zone));
+        let type_ok = spec
+            .types
+            .as_ref()
+            .is_none_or(|names| names.contains(&t.name));
+        zone_ok && type_ok && spec.need.fits_in(t.size)
+    });
+    if !fits {
+        return Err("a task fits no allowed machine type".into());
+    }
+    let least = spec.least();
+    if !team.limit().holds(least) {
+        let what = if job.kind == Kind::Array {
+            "a task"
+        } else {
+            "the job"
+        };
+        return Err(format!(
+            "{what} needs more than the limit of team {:?}",
+            job.team
+        ));
+    }
+    Ok(())
+}
