Fleet: room for expected jobs by how long they hold it, by their estimate

Cause: room ahead was kept for all jobs expected in the lead time (1.5 times boot and fetch), as if none of them ended meanwhile.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 use crate::model::{Job, JobId, MachineId, MachineType, Resources, Spec, Types};
 use crate::placement::{self, Place, Slot};
 use crate::settings::Objective;
+use crate::wire::user::Kind;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -50,14 +51,20 @@
         }
         let mut expected = Vec::new();
         for (class, specs) in classes {
-            let Some(boot_ms) = specs.iter().find_map(|spec| {
-                let boot_ms = quickest(spec, types)?;
-                starts_late(class, boot_ms, objectives).then_some(boot_ms)
+            let Some(startup) = specs.iter().find_map(|spec| {
+                let startup = quickest(spec, types)?;
+                starts_late(class, startup.whole_ms(), objectives).then_some(startup)
             }) else {
                 continue;
             };
-            let lead_ms = boot_ms + boot_ms / 2;
-            let count = (specs.len() as u64 * lead_ms).div_ceil(window);
+            let lead_ms = startup.whole_ms() + startup.whole_ms() / 2;
+            // One that ends within the lead time leaves its room to a later one. (Counted in full,
+            // arrays of 25 s, expected over 73 s, kept three times the room that they ever held.)
+            let held_ms: u64 = specs
+                .iter()
+                .map(|spec| startup.held_ms(spec).min(lead_ms))
+                .sum();
+            let count = held_ms.div_ceil(window);
             // They will not all come at once, nor with these images: it is their room that counts.
             // (With its image, each was to have a machine of its own to fetch on, and twice as
             // many were rented in the first minutes as then had work.)
@@ -71,8 +78,30 @@
     }
 }
 
+/// What has to pass before a job's tasks run on a machine that is yet to be rented, nominally.
+#[derive(Debug, Clone, Copy)]
+struct Startup {
+    boot_ms: u64,
+    fetch_ms: u64,
+}
+
+impl Startup {
+    fn whole_ms(self) -> u64 {
+        self.boot_ms + self.fetch_ms
+    }
+
+    /// How long a job's tasks hold their room, by its owner's estimate; a service's hold it for
+    /// ever.
+    fn held_ms(self, spec: &Spec) -> u64 {
+        match spec.kind {
+            Kind::Service => u64::MAX,
+            Kind::Array | Kind::Gang => spec.estimate_ms.saturating_add(self.fetch_ms),
+        }
+    }
+}
+
 /// The shortest nominal time from renting a machine to having the job's image on it.
-fn quickest(spec: &Spec, types: &Types) -> Option<u64> {
+fn quickest(spec: &Spec, types: &Types) -> Option<Startup> {
     types
         .values()
         .filter(|t| spec.need.fits_in(t.size))
@@ -81,8 +110,11 @@
                 .as_ref()
                 .is_none_or(|names| names.contains(&t.name))
         })
-        .map(|t| t.boot_ms + (spec.image_gb / t.fetch_gb_per_s.max(1e-3) * 1000.0) as u64)
-        .min()
+        .map(|t| Startup {
+            boot_ms: t.boot_ms,
+            fetch_ms: (spec.image_gb / t.fetch_gb_per_s.max(1e-3) * 1000.0) as u64,
+        })
+        .min_by_key(|startup| startup.whole_ms())
 }
 
 /// Whether a job that starts only after `start_ms` misses its class's aim for waiting.
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -94,3 +94,35 @@
     // One in 10 s, and 45 s (with a margin of a half) from renting to running: 7.
     assert_eq!(expected(&arrivals, 1_400_000), 7);
 }
+
+/// Room for expected jobs was kept as if none of them ended: arrays of half a minute, expected
+/// over more than a minute, kept several times the room that they ever hold at once.
+#[test]
+fn short_jobs_leave_their_room_to_the_next_ones() {
+    let aim = Objective {
+        kind: "wait".into(),
+        class: Some("train".into()),
+        within_s: Some(20.0),
+    };
+    let expected = |kind, estimate_s| {
+        let mut wire = wire_job("run-1", kind, 1);
+        wire.estimate_s = estimate_s;
+        let spec = Spec::read(&wire);
+        let mut arrivals = Arrivals::default();
+        // One in 2 s, 30 s for a boot and 15 s for the image, and with a margin of a half 67.5 s
+        // for both.
+        for n in 0..90 {
+            let id = JobId::from(&*format!("run-{n}"));
+            arrivals.note(1_000_000 + n * 2_000, &id, &spec);
+        }
+        let aims = std::slice::from_ref(&aim);
+        arrivals.expected(1_180_000, &types(), aims).len()
+    };
+    assert_eq!(expected(Kind::Array, 9.0), 12, "as many as run at once");
+    assert_eq!(expected(Kind::Array, 900.0), 34, "all that come meanwhile");
+    assert_eq!(
+        expected(Kind::Service, 0.0),
+        34,
+        "services end when told to"
+    );
+}
