--- a/src/engine/records/tests.rs
+++ b/src/engine/records/tests.rs
@@ -24,11 +24,12 @@
     assert!(read::<RoundRecord>(Value::from("x")).is_none());
 }
 
-/// Records as the production version wrote them.
-macro_rules! production {
-    ($name:literal) => {
+macro_rules! fixture {
+    ($directory:literal, $name:literal) => {
         include_bytes!(concat!(
-            "../../../tests/fixtures/production/",
+            "../../../tests/fixtures/",
+            $directory,
+            "/",
             $name,
             ".msgpack"
         ))
@@ -36,6 +37,20 @@
     };
 }
 
+/// Records as the production version wrote them.
+macro_rules! production {
+    ($name:literal) => {
+        fixture!("production", $name)
+    };
+}
+
+/// Records as commit 7111968, the first version with pipelines, wrote them.
+macro_rules! pipelines {
+    ($name:literal) => {
+        fixture!("pipelines", $name)
+    };
+}
+
 fn stored<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
     read(rmp_serde::from_slice(bytes).unwrap())
 }
@@ -136,3 +151,97 @@
     let cancelled = waiting.cancelled();
     assert!(as_production(&cancelled).is_some_and(|r| r.cancelled));
 }
+
+/// A job of the first version with pipelines, submitted two seconds after its cluster began.
+fn submitted(id: &str, kind: Kind, tasks: u64, awaits: &[&str]) -> JobRecord {
+    let mut job = job(id, kind, tasks);
+    job.estimate_s = 10.0;
+    job.awaits = awaits.iter().map(|id| (*id).to_owned()).collect();
+    JobRecord::new(job, 2_000)
+}
+
+/// The stored bytes say what the record says, and the record is written as these bytes.
+#[track_caller]
+fn reads_and_writes<T: Serialize + DeserializeOwned + PartialEq + std::fmt::Debug>(
+    bytes: &[u8],
+    record: &T,
+) {
+    assert_eq!(stored::<T>(bytes).as_ref(), Some(record));
+    assert_eq!(wire::encode(&value(record)), bytes);
+}
+
+/// Guards against a job of a pipeline that is lost, or released twice or too early, because its
+/// record reads otherwise in another version: waiting, for one job or two, released, called off, and
+/// ended.
+#[test]
+fn records_of_jobs_in_pipelines_are_read_and_written_as_by_the_first_version_with_them() {
+    let mut waiting = submitted("run-8", Kind::Gang, 2, &["run-7"]);
+    waiting.job.types = Some(vec!["g8".into()]);
+    waiting.job.deadline_s = Some(900.0);
+    reads_and_writes(pipelines!("waiting"), &waiting);
+    assert!(waiting.waits());
+    let for_two = submitted("run-10", Kind::Array, 4, &["run-8", "run-9"]);
+    reads_and_writes(pipelines!("waiting_for_two"), &for_two);
+    let called_off = submitted("run-9", Kind::Array, 3, &["run-7"]).cancelled();
+    reads_and_writes(pipelines!("waiting_cancelled"), &called_off);
+    let ready_ms = stored::<JobRecord>(pipelines!("ready")).and_then(|record| record.ready_ms);
+    let ready = waiting.ready(ready_ms.expect("when it was released"));
+    reads_and_writes(pipelines!("ready"), &ready);
+    assert!(!ready.waits() && ready.ready_ms > Some(ready.at_ms));
+    for (bytes, state, tasks) in [
+        (pipelines!("final_done"), JobState::Done, 2),
+        (
+            pipelines!("final_aborted_dependant"),
+            JobState::Cancelled,
+            4,
+        ),
+    ] {
+        reads_and_writes(bytes, &FinalRecord { state, tasks });
+    }
+}
+
+/// Guards against finished tasks that another version's parts of an array don't tell of, or that
+/// stand under a key that it does not read.
+#[test]
+fn progress_in_parts_is_read_and_written_as_by_the_first_version_with_pipelines() {
+    let tasks = 4_200;
+    let mut done = TaskSet::default();
+    for (part, key, bytes) in [
+        (0, "work/run-1/0p", pipelines!("work0p")),
+        (1, "work/run-1/1p", pipelines!("work1p")),
+    ] {
+        assert_eq!(work_key(&"run-1".into(), tasks, part), key);
+        let (_, first) = work_of_key(key).unwrap();
+        let record: WorkRecord = stored(bytes).unwrap();
+        done.add_text(first, &record.done, tasks).unwrap();
+        let again = WorkRecord {
+            done: done.part_text(part),
+        };
+        reads_and_writes(bytes, &again);
+    }
+    let missing: Vec<u32> = (0..tasks).filter(|task| !done.contains(*task)).collect();
+    assert_eq!(missing, [3, 64, 4_095, 4_097, 4_199]);
+}
+
+/// Guards against a part of a round that another version takes for a round of its own, or misses.
+#[test]
+fn a_round_of_several_records_is_read_and_written_as_by_the_first_version_with_pipelines() {
+    let number = 0x10_0001;
+    let mut tasks = Vec::new();
+    for (part, key, bytes) in [
+        (0, "rounds/0000000000100001", pipelines!("round")),
+        (1, "rounds/0000000000100001.1", pipelines!("round1")),
+        (2, "rounds/0000000000100001.2", pipelines!("round2")),
+    ] {
+        assert_eq!(round_key(number, part), key);
+        assert_eq!(round_of_key(key), Some(number));
+        let record: RoundRecord = stored(bytes).unwrap();
+        reads_and_writes(bytes, &record);
+        for (job, machine, on_machine) in record.starts {
+            assert!(job == "run-1" && machine.starts_with("host-"));
+            tasks.extend(on_machine);
+        }
+    }
+    tasks.sort_unstable();
+    assert_eq!(tasks, (0..300).collect::<Vec<u32>>());
+}
--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -3,6 +3,7 @@
 mod large;
 mod meetings;
 mod pipelines;
+mod stored;
 mod world;
 
 use crate::constants as k;
