--- a/src/engine/rounds/writing.rs
+++ b/src/engine/rounds/writing.rs
@@ -276,29 +276,11 @@
         writing.retry = Retry::default();
         if writing.durable == writing.round.parts.len() {
             self.start_round(number);
-        } else if self.is_intact(number) {
-            self.send_transaction(number);
         } else {
-            tracing::debug!(number, "round given up: a task or its job was stopped");
-            self.drop_round(number);
+            self.send_transaction(number);
         }
     }
 
-    /// Whether all tasks of a round that is being written may still start.
-    fn is_intact(&self, number: u64) -> bool {
-        let writing = self.leader().and_then(|l| l.rounds.writing.get(&number));
-        let Some(writing) = writing else { return false };
-        writing.round.starts().all(|group| {
-            let Some(job) = self.jobs.get(&group.job).filter(|job| job.is_open()) else {
-                return false;
-            };
-            group.tasks.iter().all(|index| {
-                let placement = job.live.get(index);
-                placement.is_some_and(|p| p.attempt == number && p.stop.is_none())
-            })
-        })
-    }
-
     /// The round is durable: its starts go out with the answers to the next reports.
     fn start_round(&mut self, number: u64) {
         let now = self.now;
--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -8,6 +8,7 @@
 mod meetings;
 mod pipelines;
 mod requirements;
+mod stored;
 mod world;
 
 use crate::constants as k;
