Vacate half-empty machines of services, so that they can be returned

Done: while no job waits for room, every 10 s one machine with nothing but replicas that have run for 30 s, at most half full, is put aside and its replicas stopped, if each finds room on a machine of the zone that is at least as full, holds services and has its image. They are placed like any others; a replica counts as running until it surely is not.

Expected: price and useful money better, up worse by the seconds of each move.

Tests: half_empty_machines_of_services_are_joined_and_one_is_returned, which fails without the call of vacate_when_due (two machines stay), and two of the choice alone. Carries over: engine/vacating.rs and placement/vacate.rs are new; Provisioning gets vacate_at and keeps(); Engine::settling and stop_task become pub(super); one call in Engine::on_time.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -216,6 +216,12 @@
 /// A task that started less than this long ago, ms, is not stopped for others: by the protocol
 /// a start counts only if the task is left alone for 30 s.
 pub const SETTLED_MS: u64 = 30_000;
+/// Between two machines that are vacated, ms: stopping replicas, reporting it and starting them
+/// elsewhere takes several seconds, and the next choice has to see the room that is left.
+pub const VACATE_EVERY_MS: u64 = 10_000;
+/// Most of a machine in use, in thousandths, for it to be vacated: of two that could be joined,
+/// the fuller one's replicas stay.
+pub const VACATED_SHARE: u64 = 500;
 /// After a take-over, besides two reports, ms: a worker gives up on its old node after 4 s and
 /// needs a second to find the new leader.
 pub const SETTLE_MS: u64 = 5_000;
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -16,6 +16,7 @@
 mod rounds;
 #[cfg(test)]
 mod tests;
+mod vacating;
 mod watching;
 
 pub use records::{
@@ -526,6 +527,7 @@
             self.place_when_due();
             self.write_ends_when_due();
             self.provision_when_due();
+            self.vacate_when_due();
         }
     }
 }
--- a/src/engine/provisioning.rs
+++ b/src/engine/provisioning.rs
@@ -26,6 +26,8 @@
     list_after: Option<String>,
     returns: Retry,
     upkeep_at: Ms,
+    /// When a machine may be vacated next.
+    pub vacate_at: Ms,
     /// Jobs for which tasks were stopped a moment ago, or found not to be, and until when they
     /// are not looked at again.
     preempted: BTreeMap<JobId, Ms>,
@@ -48,6 +50,7 @@
             list_after: None,
             returns: Retry::default(),
             upkeep_at: now,
+            vacate_at: now,
             preempted: BTreeMap::new(),
             keep: BTreeSet::new(),
             cut: BTreeMap::new(),
@@ -56,6 +59,11 @@
 }
 
 impl Provisioning {
+    /// Whether an idle machine is kept for what is expected.
+    pub fn keeps(&self, id: &MachineId) -> bool {
+        self.keep.contains(id)
+    }
+
     /// Offers refused a moment ago.
     fn refused_now(&self, now: Ms) -> BTreeSet<Offer> {
         let refused = self.refused.iter().filter(|(_, (until, _))| now < *until);
@@ -150,7 +158,7 @@
     /// their room is not known. (Renting at once, a new leader doubled the fleet. Waiting for the
     /// last of them, which may be dead, leaders that ended every twelve seconds never rented, and
     /// a gang waited for four minutes.)
-    fn settling(&self) -> bool {
+    pub(super) fn settling(&self) -> bool {
         let Some(leader) = self.leader() else {
             return false;
         };
@@ -281,7 +289,7 @@
     }
 
     /// Tells a task to save and stop; of a gang, all of them.
-    fn stop_task(&mut self, task: &TaskId) {
+    pub(super) fn stop_task(&mut self, task: &TaskId) {
         let now = self.now;
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -775,3 +775,23 @@
     assert!(world.begun.contains("run-2"), "{}", world.describe());
     assert_eq!(world.broken, Vec::<String>::new());
 }
+
+/// When the work beside them had ended, services stood on half-empty machines until the end of the
+/// day: each machine kept the next one's replicas company.
+#[test]
+fn half_empty_machines_of_services_are_joined_and_one_is_returned() {
+    let mut world = world_with(vec![
+        quick("run-1", Kind::Service, 2),
+        quick("run-2", Kind::Service, 2),
+    ]);
+    assert!(world.run_until(60_000, |w| w.running("run-1") + w.running("run-2") == 4));
+    world.submit(quick("run-3", Kind::Service, 2));
+    assert!(world.run_until(60_000, |w| w.running("run-3") == 2));
+    assert_eq!(world.workers.len(), 2);
+    world.cancel("run-1");
+    let joined = world.run_until(150_000, |w| w.workers.len() == 1);
+    assert!(joined, "{}", world.describe());
+    let both = |w: &World| w.running("run-2") + w.running("run-3") == 4;
+    assert!(world.run_until(10_000, both), "{}", world.describe());
+    assert_eq!(world.broken, Vec::<String>::new());
+}
--- /dev/null
+++ b/src/engine/vacating.rs
@@ -0,0 +1,72 @@
+//! Moves the replicas of half-empty machines together, so that machines can be returned.
+
+use super::Engine;
+use crate::constants as k;
+use crate::model::{Machine, MachineId, Placement, Spec, Stage, TaskId};
+use crate::placement::vacate::{self, Vacant};
+use crate::wire::user::Kind;
+use crate::wire::worker::TaskState;
+
+impl Engine {
+    /// Vacates one machine now and then, while nothing waits for room: it takes no more tasks, and
+    /// its replicas are stopped and placed anew like any others.
+    pub(super) fn vacate_when_due(&mut self) {
+        let now = self.now;
+        if !self.confident() || self.settling() {
+            return;
+        }
+        let Some(provisioning) = self.leader_mut().map(|l| &mut l.provisioning) else {
+            return;
+        };
+        if now < provisioning.vacate_at {
+            return;
+        }
+        provisioning.vacate_at = now + k::VACATE_EVERY_MS;
+        if !provisioning.demand.is_empty() {
+            return;
+        }
+        self.refresh_slots();
+        let Some(id) = self.machine_to_vacate() else {
+            return;
+        };
+        let Some(machine) = self.leader_mut().and_then(|l| l.machines.get_mut(&id)) else {
+            return;
+        };
+        machine.aside = true;
+        let replicas: Vec<TaskId> = machine.tasks.iter().cloned().collect();
+        tracing::info!(machine = %id, replicas = replicas.len(), "vacating machine");
+        for task in replicas {
+            self.stop_task(&task);
+        }
+    }
+
+    fn machine_to_vacate(&self) -> Option<MachineId> {
+        let leader = self.leader()?;
+        let candidates: Vec<Vacant<'_>> = leader
+            .machines
+            .values()
+            .filter(|machine| machine.takes_tasks() && !machine.tasks.is_empty())
+            .filter(|machine| !leader.provisioning.keeps(&machine.id))
+            .filter_map(|machine| self.as_vacant(machine))
+            .collect();
+        vacate::choose(&candidates, &leader.machines.ready())
+    }
+
+    /// The machine with its replicas, if it holds nothing else and all of them have run for a while.
+    fn as_vacant(&self, machine: &Machine) -> Option<Vacant<'_>> {
+        let settled = |placement: &Placement| {
+            matches!(placement.stage, Stage::Up(TaskState::Running))
+                && placement.stop.is_none()
+                && self.now >= placement.since + k::SETTLED_MS
+        };
+        let replica = |task: &TaskId| -> Option<&Spec> {
+            let job = self.jobs.get(&task.job).filter(|job| job.is_open())?;
+            let placement = job.live.get(&task.index)?;
+            (job.spec.kind == Kind::Service && settled(placement)).then_some(&job.spec)
+        };
+        Some(Vacant {
+            machine: machine.id.clone(),
+            replicas: machine.tasks.iter().map(replica).collect::<Option<_>>()?,
+        })
+    }
+}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -5,6 +5,7 @@
 //! zones and kinds of machine and the team's limit.
 
 pub mod preempt;
+pub mod vacate;
 
 use crate::constants::UNPLACED_MOST;
 use crate::model::{Job, JobId, MachineId, Resources, Spec};
