--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -533,6 +533,7 @@
             self.place_when_due();
             self.write_ends_when_due();
             self.provision_when_due();
+            self.consolidate_when_due();
         }
     }
 }
--- a/src/engine/provisioning/housekeeping.rs
+++ b/src/engine/provisioning/housekeeping.rs
@@ -17,6 +17,8 @@
     Reclaimed,
     /// Tasks failed on it; it is empty now.
     Quarantined,
+    /// Its replicas were moved to other machines.
+    Drained,
     Idle,
 }
 
@@ -29,6 +31,7 @@
             ReturnReason::NeverCameUp => "never came up",
             ReturnReason::Reclaimed => "taken",
             ReturnReason::Quarantined => "quarantined",
+            ReturnReason::Drained => "drained",
             ReturnReason::Idle => "idle",
         }
     }
@@ -145,6 +148,9 @@
             MachinePhase::Up if machine.quarantined && machine.is_empty() => {
                 Some(ReturnReason::Quarantined)
             }
+            MachinePhase::Up if machine.draining && machine.is_empty() => {
+                Some(ReturnReason::Drained)
+            }
             MachinePhase::Up if self.is_surplus(leader, machine) => Some(ReturnReason::Idle),
             _ => None,
         }
--- a/src/engine/provisioning/mod.rs
+++ b/src/engine/provisioning/mod.rs
@@ -2,10 +2,12 @@
 //!
 //! Only the leader provisions. Each pass compares the demand of waiting tasks with the room that
 //! the fleet has or will soon have. The submodules have one job each: [`renting`] requests
-//! machines, [`preemption`] stops tasks where the cloud has refused machines, [`machine_list`]
+//! machines, [`preemption`] stops tasks where the cloud has refused machines, [`consolidation`]
+//! joins services that half-empty machines hold, [`machine_list`]
 //! follows the cloud's list, [`housekeeping`] inspects the fleet, and [`returning`] gives machines
 //! back.
 
+mod consolidation;
 mod housekeeping;
 mod machine_list;
 mod preemption;
@@ -45,6 +47,8 @@
     returns: Retry,
     /// Time of the next housekeeping pass, ms.
     next_housekeeping_at: Ms,
+    /// Time from which the next machine may be drained, ms.
+    next_consolidation_at: Ms,
     /// Jobs for which tasks were stopped lately, or no victims were found, and the time until which
     /// no more victims are searched for, ms.
     preemption_pauses: BTreeMap<JobId, Ms>,
@@ -77,6 +81,7 @@
             list_cursor: None,
             returns: Retry::default(),
             next_housekeeping_at: now,
+            next_consolidation_at: now,
             preemption_pauses: BTreeMap::new(),
             reserved: BTreeSet::new(),
             cut_off_zones: BTreeMap::new(),
--- a/src/model/machine.rs
+++ b/src/model/machine.rs
@@ -86,6 +86,8 @@
     pub failed_jobs: BTreeSet<JobId>,
     /// Takes nothing more, because tasks fail on it; returned when empty.
     pub quarantined: bool,
+    /// Takes nothing more, because its replicas are moved to other machines; returned when empty.
+    pub draining: bool,
     /// Since when it holds nothing.
     pub idle_since: Ms,
 }
@@ -114,6 +116,7 @@
             images: VecDeque::new(),
             failed_jobs: BTreeSet::new(),
             quarantined: false,
+            draining: false,
             idle_since: now,
         }
     }
@@ -161,6 +164,7 @@
         self.phase == MachinePhase::Up
             && self.heard
             && !self.quarantined
+            && !self.draining
             && self.taken_at.is_none()
             && self.orphaned_tasks.is_empty()
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -4,6 +4,7 @@
 //! Each task goes to the fitting machine that is left fullest, within the rules on types,
 //! zones and kinds of machine and the team's limit.
 
+pub mod consolidation;
 pub mod preempt;
 
 use crate::constants::{MACHINE_TASKS, UNPLACED_MOST};
