--- a/src/engine/leadership.rs
+++ b/src/engine/leadership.rs
@@ -1,8 +1,8 @@
-//! Taking, keeping and giving up office.
+//! Leadership: election, renewal of the lease, and stepping down.
 //!
-//! Office is a key under a state-service lease. The commit that takes it also raises the
-//! durable term, and holds only if key and term are as read before; so terms are never used
-//! twice, and at most one leader's commits succeed.
+//! The leader is whose name stands under a key that is bound to a lease of the state service. The
+//! commit that writes the key also raises the durable term, and succeeds only if key and term are
+//! as read before; so terms are never used twice, and at most one leader's commits succeed.
 
 use super::records::{self, LEAD, LeadRecord, TERM, TermRecord};
 use super::{Engine, Holder, Leader, Op, Role, ends, provisioning, recovery, rounds};
@@ -19,6 +19,7 @@
 }
 
 impl Engine {
+    /// The state service names the leader.
     pub(super) fn on_leader_seen(&mut self, seen: Holder) {
         if self
             .holder
@@ -30,13 +31,14 @@
         self.term_heard = self.term_heard.max(seen.term);
         tracing::info!(leader = seen.node, term = seen.term, "leader seen");
         if self.leader().is_some_and(|l| l.version < seen.version) {
-            self.step_down("another node has taken office");
+            self.step_down("another node has become leader");
         }
         // Its own key from before a restart: that process is gone, so there is nobody to wait
         // for.
         self.holder = Some(seen);
     }
 
+    /// The leader's key was deleted, up to that version.
     pub(super) fn on_leader_gone(&mut self, version: u64) {
         if self.holder.as_ref().is_some_and(|h| h.version > version) {
             return;
@@ -47,6 +49,7 @@
         }
     }
 
+    /// A peer's announcement came in.
     pub(super) fn on_announced(&mut self, said: Announcement) {
         if self.settings.peers.iter().any(|p| p.node == said.node) {
             self.peers.insert(said.node, (self.now, said.store_ok));
@@ -58,9 +61,9 @@
         }
     }
 
-    /// Whether this node may start things: its lease surely stands and it has heard of all
-    /// changes a moment ago.
-    pub(super) fn confident(&self) -> bool {
+    /// Whether this node may start things: it leads, its lease is surely valid, and it has heard of
+    /// all changes within the lease's time.
+    pub(super) fn holds_valid_lease(&self) -> bool {
         let ttl = less_drift(k::LEASE_TTL_MS);
         self.leader().is_some_and(|l| self.now < l.renewed + ttl)
             && self.fresh_at.is_some_and(|at| self.now < at + ttl)
@@ -69,7 +72,7 @@
     /// Whether this node may still answer reports, which renews workers' leases. Bounded, so
     /// that a cancellation it has not heard of still ends in time: see the timing's grace.
     pub(super) fn may_answer(&self) -> bool {
-        let grace = self.leaders_grace();
+        let grace = self.leader_grace();
         self.leader().is_some_and(|l| self.now < l.renewed + grace)
             && self.knows_cancellations(grace)
     }
@@ -84,7 +87,7 @@
     /// successor is at work by then and waits for the workers, so it lets them go sooner. (A
     /// follower that serves workers for the leader redirects them now and then and need not: in a
     /// zone that is cut off, what they run would end for nothing.)
-    fn leaders_grace(&self) -> Ms {
+    fn leader_grace(&self) -> Ms {
         match self.is_alone() {
             true => self.timing.grace / 2,
             false => self.timing.grace,
@@ -104,38 +107,49 @@
         (knows && !self.hears(&holder.node)).then_some(holder)
     }
 
-    pub(super) fn lead_when_due(&mut self) {
-        let now = self.now;
-        match &mut self.role {
-            Role::Leader(leader) => {
-                if !leader.touching && now >= leader.touch_at {
-                    leader.touching = true;
-                    let lease = leader.lease;
-                    self.store(Op::Touch { sent: now }, StoreCall::Touch { lease });
-                } else if !self.may_answer() {
-                    self.step_down("no contact with the state service");
-                }
-            }
-            Role::Follower => {
-                let vacant = self
-                    .holder
-                    .as_ref()
-                    .is_none_or(|h| h.node == self.settings.node);
-                let current = self.revision.is_some() && self.store_ok();
-                if vacant && current && self.types.is_some() && self.campaign.due(now) {
-                    self.campaign.busy = true;
-                    self.role = Role::Campaign { lease: None };
-                    let call = StoreCall::Hold {
-                        ttl_ms: k::LEASE_TTL_MS,
-                    };
-                    self.store(Op::CampaignHold { sent: now }, call);
-                }
-            }
+    /// Renews the lease, steps down or stands for election, as is due.
+    pub(super) fn maintain_leadership(&mut self) {
+        match &self.role {
+            Role::Leader(_) => self.renew_or_step_down(),
+            Role::Follower => self.campaign_when_due(),
             Role::Campaign { .. } => {}
         }
     }
 
-    pub(super) fn on_held(&mut self, sent: Ms, result: Result<StoreReply, StoreError>) {
+    fn renew_or_step_down(&mut self) {
+        let now = self.now;
+        let Some(leader) = self.leader_mut() else {
+            return;
+        };
+        if !leader.renewing && now >= leader.next_renewal_at {
+            leader.renewing = true;
+            let lease = leader.lease;
+            self.store(Op::RenewLease { sent: now }, StoreCall::Touch { lease });
+        } else if !self.may_answer() {
+            self.step_down("no contact with the state service");
+        }
+    }
+
+    /// Begins a campaign with a lease of its own, if nobody leads and this node is up to date.
+    fn campaign_when_due(&mut self) {
+        let now = self.now;
+        let vacant = self
+            .holder
+            .as_ref()
+            .is_none_or(|h| h.node == self.settings.node);
+        let current = self.revision.is_some() && self.store_ok();
+        if vacant && current && self.types.is_some() && self.campaign.due(now) {
+            self.campaign.busy = true;
+            self.role = Role::Campaign { lease: None };
+            let call = StoreCall::Hold {
+                ttl_ms: k::LEASE_TTL_MS,
+            };
+            self.store(Op::CampaignLease { sent: now }, call);
+        }
+    }
+
+    /// The campaign's lease was granted: the durable term is read next.
+    pub(super) fn on_campaign_lease(&mut self, sent: Ms, result: Result<StoreReply, StoreError>) {
         match (&mut self.role, result) {
             (Role::Campaign { lease }, Ok(StoreReply::Held { lease: held })) => {
                 *lease = Some((held, sent));
@@ -145,7 +159,8 @@
         }
     }
 
-    pub(super) fn on_term(&mut self, result: Result<StoreReply, StoreError>) {
+    /// The durable term was read: this node's name and a higher term are written.
+    pub(super) fn on_term_read(&mut self, result: Result<StoreReply, StoreError>) {
         let Role::Campaign {
             lease: Some((lease, _)),
         } = self.role
@@ -163,7 +178,7 @@
             },
             _ => return self.end_campaign(),
         };
-        // Someone else may have taken office since the campaign began.
+        // Another node may have become leader since the campaign began.
         let held_by = self.holder.as_ref();
         if held_by.is_some_and(|h| h.node != self.settings.node) {
             return self.end_campaign();
@@ -182,6 +197,7 @@
         self.store(Op::CampaignCommit { term }, StoreCall::Commit(txn));
     }
 
+    /// The outcome of the commit that makes this node the leader.
     pub(super) fn on_elected(&mut self, term: u64, result: Result<StoreReply, StoreError>) {
         let Role::Campaign {
             lease: Some((lease, sent)),
@@ -193,7 +209,7 @@
             return self.end_campaign();
         };
         self.campaign.worked(self.now);
-        tracing::info!(term, "took office");
+        tracing::info!(term, "became leader");
         self.holder = Some(Holder {
             node: self.settings.node.clone(),
             term,
@@ -201,15 +217,15 @@
         });
         self.term_heard = self.term_heard.max(term);
         self.forget_placements();
-        // Outcomes of an earlier office's calls mean nothing to this one.
+        // Outcomes of calls from an earlier term mean nothing in this one.
         self.ops.retain(|_, op| !op.is_leaders());
         self.role = Role::Leader(Box::new(Leader {
             term,
             version: revision,
             lease,
             renewed: sent,
-            touch_at: sent + k::LEASE_RENEW_MS,
-            touching: false,
+            next_renewal_at: sent + k::LEASE_RENEW_MS,
+            renewing: false,
             loading: Some(recovery::Loading::default()),
             since: self.now,
             machines: Default::default(),
@@ -233,28 +249,30 @@
         self.campaign.failed(self.now, &mut self.rng);
     }
 
-    pub(super) fn on_touched(&mut self, sent: Ms, result: Result<StoreReply, StoreError>) {
+    /// The outcome of a renewal.
+    pub(super) fn on_lease_renewed(&mut self, sent: Ms, result: Result<StoreReply, StoreError>) {
         let now = self.now;
         let Some(leader) = self.leader_mut() else {
             return;
         };
-        leader.touching = false;
+        leader.renewing = false;
         match result {
             Ok(_) => {
                 leader.renewed = leader.renewed.max(sent);
-                leader.touch_at = sent + k::LEASE_RENEW_MS;
+                leader.next_renewal_at = sent + k::LEASE_RENEW_MS;
             }
             Err(StoreError::NoLease) => self.step_down("the lease has ended"),
             Err(e) => {
                 tracing::debug!("renewal: {e}");
-                leader.touch_at = now + k::LEASE_RENEW_MS / 4;
+                leader.next_renewal_at = now + k::LEASE_RENEW_MS / 4;
             }
         }
     }
 
+    /// Gives up leadership, if this node leads, and everything that only a leader knows.
     pub(super) fn step_down(&mut self, why: &str) {
         if let Role::Leader(leader) = &self.role {
-            tracing::info!(term = leader.term, "gave up office: {why}");
+            tracing::info!(term = leader.term, "gave up leadership: {why}");
             let lease = leader.lease;
             self.store(Op::Forgotten, StoreCall::Drop { lease });
             self.role = Role::Follower;
@@ -263,7 +281,7 @@
         }
     }
 
-    /// What only a leader knows of jobs is not carried from one office to the next.
+    /// What only a leader knows of jobs is not carried from one term to the next.
     fn forget_placements(&mut self) {
         for job in self.jobs.values_mut() {
             let fresh = crate::model::Job::new(
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -8,16 +8,19 @@
 mod ends;
 mod leadership;
 mod machines;
+mod messages;
 mod pipelines;
 mod provisioning;
 mod records;
 mod recovery;
 mod reports;
+mod retry;
 mod rounds;
 #[cfg(test)]
 mod tests;
 mod watching;
 
+pub use messages::{Command, Effect, OpId, Reply, ReplyId, View};
 pub use records::{
     FinalRecord, JobRecord, final_key, final_value, job_key, job_value, json_size, read_final,
     read_job,
@@ -26,156 +29,16 @@
 use crate::cloud::{CloudCall, CloudError, CloudReply};
 use crate::constants as k;
 use crate::model::{Job, JobId, MachineId, MachineType, Ms, Token, Types};
-use crate::peer::Announcement;
 use crate::recent::Recent;
 use crate::settings::{Settings, Timing};
 use crate::store::{StoreCall, StoreError, StoreReply};
-use crate::wire::user::JobState;
-use crate::wire::worker::{DirectOrders, Orders, Report};
+use messages::Op;
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
+use retry::Retry;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// Names a call whose outcome comes back.
-pub type OpId = u64;
-/// Names a report that waits for its answer.
-pub type ReplyId = u64;
-
-#[derive(Debug)]
-pub enum Command {
-    /// A worker's report, already checked for form.
-    Report { report: Report, reply: ReplyId },
-    /// Where a job's tasks stand, for display.
-    Count { job: JobId, reply: ReplyId },
-    StoreDone {
-        op: OpId,
-        result: Result<StoreReply, StoreError>,
-    },
-    CloudDone {
-        op: OpId,
-        result: Result<CloudReply, CloudError>,
-    },
-    /// What another node says of itself.
-    Announced(Announcement),
-    /// A job's cancellation is durable: its user has been or will be told.
-    Cancelled(JobId),
-    /// How a job stands that waits for others, by news newer than the question.
-    Step { job: JobId, reply: ReplyId },
-    /// Which of these jobs are not known here to have been accepted.
-    Named { jobs: Vec<JobId>, reply: ReplyId },
-}
-
-/// The answer to a report or a count.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Reply {
-    Orders(Orders),
-    /// Not the leader; perhaps it knows who is.
-    Elsewhere(Option<String>),
-    /// Perhaps the leader, but without the right to answer.
-    Unavailable,
-    Counts {
-        done: u64,
-        running: u64,
-    },
-    /// Queued or cancelled; none if the job waits no longer.
-    Step(Option<JobState>),
-    NotKnown(Vec<JobId>),
-}
-
-#[derive(Debug, PartialEq)]
-pub enum Effect {
-    Reply {
-        to: ReplyId,
-        reply: Reply,
-    },
-    Store {
-        op: OpId,
-        call: StoreCall,
-        urgent: bool,
-    },
-    Cloud {
-        op: OpId,
-        call: CloudCall,
-    },
-    Orders {
-        addr: SocketAddr,
-        orders: DirectOrders,
-    },
-}
-
-/// What the rest of the node may know of the engine.
-#[derive(Debug, Clone, Default)]
-pub struct View {
-    /// Whether users can be served here.
-    pub ready: bool,
-    pub leading: bool,
-    pub term: u64,
-    pub leader: Option<String>,
-    /// Machine types, once the cloud has told them.
-    pub types: Option<Arc<Types>>,
-    /// The state service has answered lately.
-    pub store_ok: bool,
-}
-
-/// What a call that is under way was made for.
-#[derive(Debug)]
-enum Op {
-    Types,
-    ListLive {
-        first: Option<u64>,
-    },
-    Watch {
-        sent: Ms,
-    },
-    CampaignHold {
-        sent: Ms,
-    },
-    CampaignTerm,
-    CampaignCommit {
-        term: u64,
-    },
-    Touch {
-        sent: Ms,
-    },
-    /// Nobody waits for the outcome.
-    Forgotten,
-    Load,
-    Round,
-    Ends(ends::Batch),
-    /// A record of progress whose version is not known any more.
-    Progress {
-        key: String,
-    },
-    /// How a job ended that others await.
-    End {
-        job: JobId,
-    },
-    /// Changes since that revision, for those who ask.
-    Refresh {
-        sent: Ms,
-        after: u64,
-    },
-    Machines,
-    Rent(provisioning::Offer),
-    Return(Vec<MachineId>),
-}
-
-impl Op {
-    /// Whether only the leader of the time makes such a call.
-    fn is_leaders(&self) -> bool {
-        !matches!(
-            self,
-            Op::Types
-                | Op::ListLive { .. }
-                | Op::Watch { .. }
-                | Op::End { .. }
-                | Op::Refresh { .. }
-        )
-    }
-}
-
 /// The holder of the leader's key, as last seen in the state service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Holder {
@@ -191,7 +54,7 @@
     Leader(Box<Leader>),
 }
 
-/// What only a leader has. Dropped as a whole when office is lost.
+/// What only a leader has. Dropped as a whole when leadership is lost.
 #[derive(Debug)]
 struct Leader {
     /// The durable term: the upper part of the token on all orders, and of attempt numbers.
@@ -199,10 +62,12 @@
     /// Version of the leader's key: the condition on every commit.
     version: u64,
     lease: u64,
-    /// Send time of the last answered renewal.
+    /// Send time of the last answered renewal, ms.
     renewed: Ms,
-    touch_at: Ms,
-    touching: bool,
+    /// Time of the next renewal, ms.
+    next_renewal_at: Ms,
+    /// Whether a renewal is under way.
+    renewing: bool,
     loading: Option<recovery::Loading>,
     since: Ms,
     machines: machines::Machines,
@@ -225,35 +90,7 @@
     }
 }
 
-/// A call that is repeated with growing pauses while it fails.
-#[derive(Debug, Default)]
-struct Retry {
-    at: Ms,
-    pause: u64,
-    busy: bool,
-}
-
-impl Retry {
-    fn due(&self, now: Ms) -> bool {
-        !self.busy && now >= self.at
-    }
-
-    fn worked(&mut self, next: Ms) {
-        *self = Retry {
-            at: next,
-            pause: 0,
-            busy: false,
-        };
-    }
-
-    fn failed(&mut self, now: Ms, rng: &mut SmallRng) {
-        self.busy = false;
-        self.pause = (self.pause * 2).clamp(k::RETRY_FIRST_MS, k::RETRY_MOST_MS);
-        // Jitter keeps three nodes from asking in step after an outage.
-        self.at = now + rng.random_range(self.pause / 2..=self.pause);
-    }
-}
-
+/// The state of a node. See the module's page.
 pub struct Engine {
     settings: Arc<Settings>,
     timing: Timing,
@@ -425,8 +262,8 @@
     fn store(&mut self, op: Op, call: StoreCall) {
         let urgent = matches!(
             op,
-            Op::Touch { .. }
-                | Op::CampaignHold { .. }
+            Op::RenewLease { .. }
+                | Op::CampaignLease { .. }
                 | Op::CampaignCommit { .. }
                 | Op::CampaignTerm
         );
@@ -453,10 +290,10 @@
         match self.ops.remove(&op) {
             Some(Op::ListLive { first }) => self.on_listed_live(first, result),
             Some(Op::Watch { sent }) => self.on_watched(sent, result),
-            Some(Op::CampaignHold { sent }) => self.on_held(sent, result),
-            Some(Op::CampaignTerm) => self.on_term(result),
+            Some(Op::CampaignLease { sent }) => self.on_campaign_lease(sent, result),
+            Some(Op::CampaignTerm) => self.on_term_read(result),
             Some(Op::CampaignCommit { term }) => self.on_elected(term, result),
-            Some(Op::Touch { sent }) => self.on_touched(sent, result),
+            Some(Op::RenewLease { sent }) => self.on_lease_renewed(sent, result),
             Some(Op::Load) => self.on_loaded(result),
             Some(Op::Round) => self.on_round_written(result),
             Some(Op::Ends(batch)) => self.on_ends_written(batch, result),
@@ -518,8 +355,8 @@
             self.cloud(Op::Types, CloudCall::Types);
         }
         self.watch_when_due();
-        self.keep_pipelines();
-        self.lead_when_due();
+        self.advance_pipelines();
+        self.maintain_leadership();
         self.load_when_due();
         if self.leader().is_some_and(|l| l.loading.is_none()) {
             self.housekeep_machines_when_due();
--- a/src/engine/pipelines.rs
+++ b/src/engine/pipelines.rs
@@ -2,7 +2,7 @@
 //! hold nothing, preempt nobody and have nothing rented for them.
 //!
 //! What a job awaits is in its own record. That all of it is done follows from final records, which
-//! never change; the leader then takes the names out of the record, on condition of its office and
+//! never change; the leader then takes the names out of the record, on condition of its leadership and
 //! of the record's version, and only that makes the job one that a round may start. That one is
 //! cancelled follows from the records of those that it needs, at any node, with no second write.
 
@@ -76,7 +76,7 @@
     }
 
     /// Something that steps may depend on has changed.
-    pub fn look_again(&mut self) {
+    pub fn mark_changed(&mut self) {
         self.changed |= !self.steps.is_empty();
     }
 
@@ -197,11 +197,11 @@
         let mut job = Job::new(spec, version, record.at_ms, Phase::Open, self.now);
         job.ready = ready;
         self.jobs.insert(id.clone(), job);
-        self.pipelines.look_again();
+        self.pipelines.mark_changed();
     }
 
     /// Reads what is not known, and has what is known made fresh for those who ask.
-    pub(super) fn keep_pipelines(&mut self) {
+    pub(super) fn advance_pipelines(&mut self) {
         let now = self.now;
         self.judge_steps();
         let reads = &mut self.pipelines.reads;
--- a/src/engine/provisioning/mod.rs
+++ b/src/engine/provisioning/mod.rs
@@ -109,7 +109,7 @@
 
     /// Lists the cloud's machines and runs a rental pass, each if it is due.
     pub(super) fn provision_when_due(&mut self) {
-        if !self.confident() {
+        if !self.holds_valid_lease() {
             return;
         }
         self.list_machines_when_due();
--- a/src/engine/provisioning/returning.rs
+++ b/src/engine/provisioning/returning.rs
@@ -11,11 +11,11 @@
     /// Asks the cloud to take machines back. They and everything on them are gone only when it
     /// says so; until then their tasks count as running.
     pub(super) fn return_machines(&mut self) {
-        let confident = self.confident();
+        let lease_valid = self.holds_valid_lease();
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        if !confident || !leader.provisioning.returns.due(self.now) {
+        if !lease_valid || !leader.provisioning.returns.due(self.now) {
             return;
         }
         let returning = |m: &&Machine| m.phase == MachinePhase::Returning;
--- a/src/engine/recovery.rs
+++ b/src/engine/recovery.rs
@@ -119,7 +119,7 @@
         if let Some(leader) = self.leader_mut() {
             leader.loading = None;
         }
-        self.pipelines.look_again();
+        self.pipelines.mark_changed();
         let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
         for id in ids {
             self.settle_job(&id);
--- a/src/engine/reports/answers.rs
+++ b/src/engine/reports/answers.rs
@@ -78,11 +78,11 @@
 
     /// Starts and stops that this machine has to be told.
     fn starts_and_stops(&mut self, id: &MachineId, seq_no: SeqNo) -> Vec<Order> {
-        let confident = self.confident();
+        let lease_valid = self.holds_valid_lease();
         let Some(machine) = self.leader().and_then(|l| l.machines.get(id)) else {
             return Vec::new();
         };
-        let may_start = confident && machine.phase == MachinePhase::Up && machine.heard;
+        let may_start = lease_valid && machine.phase == MachinePhase::Up && machine.heard;
         let tasks: Vec<TaskId> = machine.tasks.iter().cloned().collect();
         tasks
             .iter()
--- a/src/engine/rounds.rs
+++ b/src/engine/rounds.rs
@@ -39,7 +39,7 @@
 impl Engine {
     pub(super) fn place_when_due(&mut self) {
         let now = self.now;
-        let confident = self.confident();
+        let confident = self.holds_valid_lease();
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
@@ -64,7 +64,7 @@
 
     /// Whether a round is to be planned as soon as may be.
     pub(super) fn is_placing(&self) -> bool {
-        self.confident()
+        self.holds_valid_lease()
             && self
                 .leader()
                 .is_some_and(|l| l.dirty && !l.provisioning.demand.is_empty())
--- a/src/engine/watching.rs
+++ b/src/engine/watching.rs
@@ -187,7 +187,7 @@
         }
         job.phase = Phase::Cancelled;
         job.stop_all(0, now);
-        self.pipelines.look_again();
+        self.pipelines.mark_changed();
         self.send_stops(id);
         self.settle_job(id);
     }
@@ -197,7 +197,7 @@
         if self.pipelines.version(id).is_some_and(|v| v <= version) {
             self.pipelines.remove(id);
         }
-        self.pipelines.look_again();
+        self.pipelines.mark_changed();
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
--- a/src/settings/timing.rs
+++ b/src/settings/timing.rs
@@ -9,7 +9,7 @@
 pub struct Timing {
     /// A worker's lease.
     pub worker_lease: u64,
-    /// How long after the send time of its last proof of office and of knowing all
+    /// How long after the send time of its last proof of leadership and of knowing all
     /// cancellations a leader still answers reports ("grace").
     pub grace: u64,
     /// A machine silent this long is returned: its tasks have lapsed by then in most cases,
