--- a/src/engine/provisioning/consolidation.rs
+++ b/src/engine/provisioning/consolidation.rs
@@ -13,7 +13,7 @@
     /// replicas are stopped and placed anew like any others.
     pub(in crate::engine) fn consolidate_when_due(&mut self) {
         let now = self.now;
-        if !self.confident() || self.awaits_first_reports() {
+        if !self.holds_valid_lease() || self.awaits_first_reports() {
             return;
         }
         let Some(provisioning) = self.leader_mut().map(|l| &mut l.provisioning) else {
--- a/src/engine/rounds/mod.rs
+++ b/src/engine/rounds/mod.rs
@@ -59,7 +59,7 @@
     pub(super) fn place_when_due(&mut self) {
         self.repeat_round_writes();
         let now = self.now;
-        let confident = self.confident();
+        let confident = self.holds_valid_lease();
         let Some(leader) = self.leader_mut() else {
             return;
         };
@@ -78,7 +78,7 @@
 
     /// Whether a round is to be planned as soon as may be.
     pub(super) fn is_placing(&self) -> bool {
-        self.confident()
+        self.holds_valid_lease()
             && self
                 .leader()
                 .is_some_and(|l| l.dirty && !l.provisioning.demand.is_empty())
