A repeatable load on one node: instructions, allocations and memory by phase

benches/load starts the real program, under callgrind or natively, against a state service, a cloud, workers and users written from the protocol. Not run by the tests.

--- /dev/null
+++ b/benches/load/cloud.rs
@@ -0,0 +1,74 @@
+//! A cloud that rents any number of machines at once, and starts a worker for each.
+
+use crate::workers::Fleet;
+use axum::Router;
+use axum::body::Bytes;
+use axum::extract::{Query, State};
+use axum::http::StatusCode;
+use axum::routing::{get, post};
+use serde::Deserialize;
+use std::sync::Arc;
+use umbervale::wire::{cloud as wire, decode, encode};
+
+/// The one machine type: eight tasks of the load's jobs fill a machine.
+pub const MACHINE_TYPE: &str = "g8";
+/// The zones that have it.
+pub const ZONES: [&str; 2] = ["east", "west"];
+
+/// The routes of the cloud.
+pub fn router(fleet: Arc<Fleet>) -> Router {
+    Router::new()
+        .route("/flavors", get(machine_types))
+        .route("/machines", get(list).post(rent))
+        .route("/machines/return", post(take_back))
+        .with_state(fleet)
+}
+
+async fn machine_types() -> Vec<u8> {
+    let machine_type = wire::MachineType {
+        name: MACHINE_TYPE.into(),
+        cpus: 64.0,
+        gpus: 8.0,
+        memory_gb: 256.0,
+        cache_gb: 100.0,
+        fetch_gb_per_s: 1.0,
+        price: 4.0,
+        spot_price: 1.0,
+        boot_s: 5.0,
+        zones: ZONES.map(String::from).to_vec(),
+    };
+    encode(&wire::MachineTypes {
+        types: vec![machine_type],
+    })
+}
+
+async fn rent(State(fleet): State<Arc<Fleet>>, body: Bytes) -> (StatusCode, Vec<u8>) {
+    let Ok(rent) = decode::<wire::Rent>(&body) else {
+        return (StatusCode::BAD_REQUEST, Vec::new());
+    };
+    let machines = fleet.rent(&rent);
+    if machines.is_empty() {
+        let refusal = std::collections::BTreeMap::from([("error", "no capacity")]);
+        return (StatusCode::SERVICE_UNAVAILABLE, encode(&refusal));
+    }
+    (StatusCode::OK, encode(&wire::Machines { machines }))
+}
+
+async fn take_back(State(fleet): State<Arc<Fleet>>, body: Bytes) -> StatusCode {
+    let Ok(named) = decode::<wire::Machines>(&body) else {
+        return StatusCode::BAD_REQUEST;
+    };
+    fleet.take_back(&named.machines);
+    StatusCode::OK
+}
+
+#[derive(Deserialize)]
+struct ListQuery {
+    after: Option<String>,
+    page: usize,
+}
+
+async fn list(State(fleet): State<Arc<Fleet>>, Query(query): Query<ListQuery>) -> Vec<u8> {
+    let (machines, more) = fleet.list(query.after.as_deref(), query.page);
+    encode(&wire::MachineList { machines, more })
+}
--- /dev/null
+++ b/benches/load/workers.rs
@@ -0,0 +1,319 @@
+//! Workers, written from the protocol: each reports to one node on a connection of its own and
+//! carries orders out at once.
+
+use axum::Router;
+use axum::body::Bytes;
+use axum::http::StatusCode;
+use axum::routing::post;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep_until};
+use umbervale::http::HttpClient;
+use umbervale::wire::cloud as wire_cloud;
+use umbervale::wire::worker::{DirectOrders, Elsewhere, Order, Orders, Report, Task};
+use umbervale::wire::worker::{TaskState, Why};
+use umbervale::wire::{decode, encode};
+
+/// Between two reports that tell nothing new.
+const REPORT_EVERY: Duration = Duration::from_secs(3);
+/// Least time between two reports.
+const REPORT_LEAST: Duration = Duration::from_millis(500);
+/// How long a worker waits for an answer: longer than the protocol's 4 s, since a node under
+/// callgrind takes some fifty times as long.
+const PATIENCE: Duration = Duration::from_secs(8);
+/// How long a task runs that isn't a service's.
+const RUN_FOR: Duration = Duration::from_secs(40);
+/// Jobs whose ids begin so are services, which don't end.
+pub const SERVICE_PREFIX: &str = "run-1";
+
+#[derive(Debug)]
+struct Machine {
+    zone: String,
+    session: u64,
+    seq: u64,
+    token: u64,
+    /// A higher token has come directly, which is reported at once.
+    report_now: bool,
+    tasks: BTreeMap<(String, u64), RunningTask>,
+}
+
+#[derive(Debug)]
+struct RunningTask {
+    state: TaskState,
+    ends: Instant,
+}
+
+/// All workers, and the machines they are on.
+pub struct Fleet {
+    machines: Mutex<BTreeMap<String, Machine>>,
+    /// Wakes workers that have something new to report.
+    changed: Notify,
+    /// Most machines.
+    capacity: usize,
+    rented: AtomicU64,
+    /// Reports answered with 200.
+    pub reports: AtomicU64,
+    /// Reports answered otherwise, or not at all.
+    pub refused: AtomicU64,
+    nodes: Vec<(String, SocketAddr)>,
+}
+
+impl Fleet {
+    /// A fleet without machines, whose workers report to `nodes`.
+    pub fn new(capacity: usize, nodes: Vec<(String, SocketAddr)>) -> Arc<Fleet> {
+        Arc::new(Fleet {
+            machines: Mutex::default(),
+            changed: Notify::new(),
+            capacity,
+            rented: AtomicU64::new(0),
+            reports: AtomicU64::new(0),
+            refused: AtomicU64::new(0),
+            nodes,
+        })
+    }
+
+    fn machines(&self) -> MutexGuard<'_, BTreeMap<String, Machine>> {
+        self.machines.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// How many machines there are, and how many tasks run on them.
+    pub fn size(&self) -> (usize, usize) {
+        let machines = self.machines();
+        let tasks = machines.values().flat_map(|machine| machine.tasks.values());
+        let running = tasks.filter(|task| task.state == TaskState::Running);
+        (machines.len(), running.count())
+    }
+
+    /// Rents as many machines as there is capacity for.
+    pub fn rent(self: &Arc<Self>, rent: &wire_cloud::Rent) -> Vec<String> {
+        let mut names = Vec::new();
+        for _ in 0..rent.count {
+            if self.machines().len() >= self.capacity {
+                break;
+            }
+            let number = self.rented.fetch_add(1, Ordering::Relaxed);
+            let name = format!("host-{number:06}");
+            let machine = Machine {
+                zone: rent.zone.clone(),
+                session: 1,
+                seq: 0,
+                token: 0,
+                report_now: false,
+                tasks: BTreeMap::new(),
+            };
+            self.machines().insert(name.clone(), machine);
+            tokio::spawn(self.clone().work(name.clone(), number));
+            names.push(name);
+        }
+        names
+    }
+
+    /// Takes machines back; their workers end.
+    pub fn take_back(&self, names: &[String]) {
+        let mut machines = self.machines();
+        for name in names {
+            machines.remove(name);
+        }
+    }
+
+    /// A page of the machine list, and whether there are more.
+    pub fn list(&self, after: Option<&str>, page: usize) -> (Vec<wire_cloud::ListedMachine>, bool) {
+        let machines = self.machines();
+        let mut rest = machines
+            .iter()
+            .filter(|(name, _)| after.is_none_or(|after| name.as_str() > after));
+        let listed = rest.by_ref().take(page);
+        let listed = listed.map(|(name, machine)| wire_cloud::ListedMachine {
+            id: name.clone(),
+            machine_type: crate::cloud::MACHINE_TYPE.into(),
+            zone: machine.zone.clone(),
+            spot: false,
+            state: wire_cloud::MachineState::Running,
+            age_s: 1.0,
+        });
+        let listed = listed.collect();
+        (listed, rest.next().is_some())
+    }
+
+    /// Carries out orders that were sent directly; the report that answers them.
+    fn take_direct_orders(&self, name: &str, direct: &DirectOrders) {
+        if let Some(machine) = self.machines().get_mut(name) {
+            machine.seq += 1;
+            if direct.token >= machine.token && direct.session == machine.session {
+                machine.report_now |= direct.token > machine.token;
+                machine.token = direct.token;
+                machine.carry_out(&direct.orders);
+            }
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Listens for direct orders to a machine, on a port of its own.
+    async fn listen(self: &Arc<Self>, name: &str) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let (fleet, name) = (self.clone(), name.to_owned());
+        let carry_out = move |body: Bytes| {
+            if let Ok(direct) = decode::<DirectOrders>(&body) {
+                fleet.take_direct_orders(&name, &direct);
+            }
+            std::future::ready(StatusCode::OK)
+        };
+        let router = Router::new().route("/commands", post(carry_out));
+        tokio::spawn(async move { axum::serve(listener, router).await });
+        Ok(address)
+    }
+
+    /// Whether a higher token has come directly since the last report.
+    fn is_asked_to_report(&self, name: &str) -> bool {
+        let mut machines = self.machines();
+        let machine = machines.get_mut(name);
+        machine.is_some_and(|machine| std::mem::take(&mut machine.report_now))
+    }
+
+    /// One worker, until its machine is taken back.
+    async fn work(self: Arc<Self>, name: String, number: u64) {
+        let http = HttpClient::keeping(1);
+        let Ok(address) = self.listen(&name).await else {
+            return;
+        };
+        let mut node = number as usize % self.nodes.len();
+        // Reports of a fleet that was rented at once are spread evenly, without chance.
+        let phase = REPORT_EVERY.mul_f64((number % 97) as f64 / 97.0);
+        let mut last_tasks = 0;
+        tokio::time::sleep(phase).await;
+        loop {
+            let sent = Instant::now();
+            let report = {
+                let mut machines = self.machines();
+                let Some(machine) = machines.get_mut(&name) else {
+                    return;
+                };
+                machine.advance();
+                machine.report(&name, address)
+            };
+            let body = Some(encode(&report));
+            let front = self.nodes[node].1;
+            let answer = http
+                .call(hyper::Method::POST, front, "/v1/report", body, PATIENCE)
+                .await;
+            let mut changed = false;
+            match answer {
+                Ok(answer) if answer.status == 200 => {
+                    self.reports.fetch_add(1, Ordering::Relaxed);
+                    if let Ok(orders) = decode::<Orders>(&answer.body)
+                        && let Some(machine) = self.machines().get_mut(&name)
+                        && orders.token >= machine.token
+                    {
+                        machine.token = orders.token;
+                        changed = !orders.orders.is_empty();
+                        machine.carry_out(&orders.orders);
+                    }
+                }
+                Ok(answer) => {
+                    self.refused.fetch_add(1, Ordering::Relaxed);
+                    let elsewhere = decode::<Elsewhere>(&answer.body).unwrap_or_default();
+                    let named = elsewhere.report_to.as_ref();
+                    let named = self.nodes.iter().position(|(node, _)| Some(node) == named);
+                    node = named.unwrap_or((node + 1) % self.nodes.len());
+                    tokio::time::sleep(REPORT_LEAST).await;
+                    continue;
+                }
+                Err(_) => {
+                    self.refused.fetch_add(1, Ordering::Relaxed);
+                    node = (node + 1) % self.nodes.len();
+                    tokio::time::sleep(Duration::from_secs(1)).await;
+                    continue;
+                }
+            }
+            last_tasks = self.pause(&name, sent, changed, last_tasks).await;
+        }
+    }
+
+    /// Waits until the next report is due: soon after a change, else after the usual time.
+    async fn pause(&self, name: &str, sent: Instant, changed: bool, last_tasks: usize) -> usize {
+        let tasks = {
+            let mut machines = self.machines();
+            let Some(machine) = machines.get_mut(name) else {
+                return 0;
+            };
+            machine.tasks.len()
+        };
+        let due = match changed || tasks != last_tasks {
+            true => sent + REPORT_LEAST,
+            false => sent + REPORT_EVERY,
+        };
+        while Instant::now() < due {
+            let asked = self.changed.notified();
+            if self.is_asked_to_report(name) {
+                sleep_until(sent + REPORT_LEAST).await;
+                break;
+            }
+            let _ = tokio::time::timeout_at(due, asked).await;
+        }
+        tasks
+    }
+}
+
+impl Machine {
+    /// Tasks that wait for their image begin, and those that have run long enough end.
+    fn advance(&mut self) {
+        let now = Instant::now();
+        for ((name, _), task) in &mut self.tasks {
+            match task.state {
+                TaskState::Fetching => task.state = TaskState::Running,
+                TaskState::Running if now >= task.ends && !name.starts_with(SERVICE_PREFIX) => {
+                    task.state = TaskState::Exited;
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn carry_out(&mut self, orders: &[Order]) {
+        for order in orders {
+            match order {
+                Order::Start { task, attempt } => {
+                    let started = RunningTask {
+                        state: TaskState::Fetching,
+                        ends: Instant::now() + RUN_FOR,
+                    };
+                    self.tasks
+                        .entry((task.clone(), *attempt))
+                        .or_insert(started);
+                }
+                Order::Stop { task, attempt, .. } | Order::Forget { task, attempt } => {
+                    self.tasks.remove(&(task.clone(), *attempt));
+                }
+            }
+        }
+    }
+
+    fn report(&mut self, name: &str, address: SocketAddr) -> Report {
+        self.seq += 1;
+        let tasks = self.tasks.iter().map(|((task, attempt), it)| Task {
+            task: task.clone(),
+            attempt: *attempt,
+            state: it.state,
+            why: (it.state == TaskState::Exited).then_some(Why::Done),
+            saved: None,
+        });
+        Report {
+            machine: name.into(),
+            addr: address.to_string(),
+            machine_type: crate::cloud::MACHINE_TYPE.into(),
+            zone: self.zone.clone(),
+            spot: false,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: tasks.collect(),
+        }
+    }
+}
