Connections and bodies take a bounded amount of memory; polls decode records in place

Cause: a connection could buffer 400 KB of a request's head, a body up to 256 KB, at up to 984 connections: far over 37 MB, so that a flood could end the process. An answer of 4 MiB, decoded, took all of it as well. A head or body sent a byte at a time held its connection for ever. Now: 8 KiB of buffer a connection, heads within the callers' pause, bodies within 5 s and within a budget derived from the settings' memory, half of it for users; beyond it 503 with Retry-After. A watch's answer over 1 MiB is read again in pages. mem_mb and cpu_share are checked. A poll's record is decoded where it stands instead of by way of a value and its encoding.

--- /dev/null
+++ b/src/api/bodies.rs
@@ -0,0 +1,144 @@
+//! Request bodies: read within the protocol's size, a bounded time, and a bounded amount of memory.
+//!
+//! All bodies that are held at one time share a budget that follows from the machine's memory. Users'
+//! requests may take only a part of it: a flood of large submissions is refused while workers'
+//! reports, which keep tasks alive, still find room.
+
+use super::responses::{Answer, refuse, unavailable};
+use crate::constants as k;
+use axum::body::Body;
+use axum::http::{HeaderValue, StatusCode};
+use http_body_util::BodyExt;
+use std::sync::Arc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+/// Who sends a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Sender {
+    User,
+    Worker,
+}
+
+/// The memory that bodies may take at one time.
+#[derive(Debug)]
+pub(super) struct BodyBudget {
+    /// Bytes for bodies of any sender.
+    all: Arc<Semaphore>,
+    /// Bytes for users' bodies, which count among all as well.
+    users: Arc<Semaphore>,
+}
+
+/// A body that was read. Its memory counts until this is dropped.
+#[derive(Debug)]
+pub(super) struct ReceivedBody {
+    pub bytes: Vec<u8>,
+    _held: Vec<OwnedSemaphorePermit>,
+}
+
+/// Why a body was not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyError {
+    /// Longer than the protocol allows.
+    TooLong,
+    /// So much longer that reading stopped, or broken off by its sender.
+    Unreadable,
+    /// The sender took too long.
+    TooSlow,
+    /// The budget is used up.
+    NoMemory,
+}
+
+impl BodyBudget {
+    /// A budget of so many bytes.
+    pub fn new(bytes: usize) -> Self {
+        BodyBudget {
+            all: Arc::new(Semaphore::new(bytes)),
+            users: Arc::new(Semaphore::new(bytes / k::USER_BODIES_PART)),
+        }
+    }
+
+    /// Reads a body, or says what its sender is told instead.
+    pub async fn read(&self, body: Body, sender: Sender) -> Result<ReceivedBody, Answer> {
+        let read = tokio::time::timeout(k::BODY_TIMEOUT, self.read_whole(body, sender));
+        let error = match read.await {
+            Ok(Ok(body)) => return Ok(body),
+            Ok(Err(error)) => error,
+            Err(_) => BodyError::TooSlow,
+        };
+        Err(error.answer())
+    }
+
+    async fn read_whole(&self, mut body: Body, sender: Sender) -> Result<ReceivedBody, BodyError> {
+        let mut received = ReceivedBody {
+            bytes: Vec::new(),
+            _held: Vec::new(),
+        };
+        let mut length = 0;
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| BodyError::Unreadable)?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            length += data.len();
+            // A little more is read than allowed, to tell "too long" from "can't be read"; it is
+            // not kept.
+            if length > k::BODY_READ_MAX {
+                return Err(BodyError::Unreadable);
+            }
+            if length > k::BODY_MAX {
+                received = ReceivedBody {
+                    bytes: Vec::new(),
+                    _held: Vec::new(),
+                };
+                continue;
+            }
+            self.hold(&mut received, data.len(), sender)?;
+            received.bytes.extend_from_slice(&data);
+        }
+        match length {
+            0..=k::BODY_MAX => Ok(received),
+            _ => Err(BodyError::TooLong),
+        }
+    }
+
+    /// Takes the memory for more of a body.
+    fn hold(
+        &self,
+        received: &mut ReceivedBody,
+        bytes: usize,
+        sender: Sender,
+    ) -> Result<(), BodyError> {
+        let budgets = match sender {
+            Sender::User => vec![&self.users, &self.all],
+            Sender::Worker => vec![&self.all],
+        };
+        for budget in budgets {
+            // A piece is at most as long as a body.
+            let permits = u32::try_from(bytes).map_err(|_| BodyError::TooLong)?;
+            let permit = budget.clone().try_acquire_many_owned(permits);
+            received
+                ._held
+                .push(permit.map_err(|_| BodyError::NoMemory)?);
+        }
+        Ok(())
+    }
+}
+
+impl BodyError {
+    fn answer(self) -> Answer {
+        match self {
+            BodyError::TooLong => refuse(StatusCode::BAD_REQUEST, "body over 64 KiB"),
+            BodyError::Unreadable => refuse(StatusCode::PAYLOAD_TOO_LARGE, "body can't be read"),
+            BodyError::TooSlow => {
+                let mut answer = refuse(StatusCode::BAD_REQUEST, "body did not arrive in time");
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert("connection", close);
+                answer
+            }
+            BodyError::NoMemory => unavailable("busy"),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/api/limit.rs
+++ b/src/api/limit.rs
@@ -39,6 +39,11 @@
         }
     }
 
+    /// The longest pause of a caller.
+    pub(super) fn pause(&self) -> Duration {
+        self.pause
+    }
+
     /// Whether so many are open that none should stay open between requests.
     pub fn crowded(&self) -> bool {
         self.slots.available_permits() < self.most / k::SPARE_CONNECTIONS
--- a/src/api/lookup.rs
+++ b/src/api/lookup.rs
@@ -1,11 +1,10 @@
 //! How a job stands: fresh reads of the state service, with final states answered from memory.
 
 use super::Api;
-use crate::engine::{self, Command, JobRecord, Reply};
+use crate::engine::{self, Command, FinalRecord, JobRecord, Reply};
 use crate::model::JobId;
 use crate::peer::Message;
-use crate::store::{StoreCall, StoreError, StoreReply, Urgency};
-use crate::wire::store::Item;
+use crate::store::{Record, StoreCall, StoreError, StoreReply, Urgency};
 use crate::wire::user::{JobState, JobStatus};
 
 /// A job as the state service has it.
@@ -29,14 +28,6 @@
         self.store.call(&call, Urgency::User).await
     }
 
-    /// The item under a key, read afresh.
-    pub(super) async fn get(&self, key: String) -> Result<Option<Item>, StoreError> {
-        match self.call(StoreCall::Get { key }).await? {
-            StoreReply::Got(item) => Ok(item),
-            _ => Err(StoreError::Bad("unexpected answer".into())),
-        }
-    }
-
     /// What is known of a job, by a fresh read. The live record is read first: a job moves from
     /// there to the final ones in one transaction, so whoever misses it in both reads never
     /// was accepted before the first.
@@ -44,29 +35,49 @@
         if let Some((state, tasks)) = self.remembered(id) {
             return Ok(StoredJob::Final(state, tasks));
         }
-        if let Some(item) = self.get(engine::job_key(id)).await? {
-            let version = item.version;
-            let Some(record) = engine::read_job(item.value) else {
+        match self.store.get_record(engine::job_key(id)).await? {
+            Some(Record::Read { record, version }) => Ok(self.read_live(id, record, version)),
+            Some(Record::Unreadable { version }) => {
                 // It was accepted, and is not over: all that its user can be told.
                 tracing::error!("record of {id} can't be read");
-                return Ok(StoredJob::Unreadable { version });
-            };
-            if record.cancelled {
-                self.remember(id, JobState::Cancelled, record.job.tasks);
-                return Ok(StoredJob::Final(JobState::Cancelled, record.job.tasks));
+                Ok(StoredJob::Unreadable { version })
             }
-            return Ok(StoredJob::Open {
-                record: Box::new(record),
-                version,
-            });
+            None => self.look_up_final(id).await,
         }
-        let Some(item) = self.get(engine::final_key(id)).await? else {
-            return Ok(StoredJob::Never);
-        };
-        let record = engine::read_final(item.value)
-            .ok_or_else(|| StoreError::Bad(format!("final record of {id} can't be read")))?;
-        self.remember(id, record.state, record.tasks);
-        Ok(StoredJob::Final(record.state, record.tasks))
+    }
+
+    fn read_live(&self, id: &str, record: JobRecord, version: u64) -> StoredJob {
+        if record.cancelled {
+            self.remember(id, JobState::Cancelled, record.job.tasks);
+            return StoredJob::Final(JobState::Cancelled, record.job.tasks);
+        }
+        StoredJob::Open {
+            record: Box::new(record),
+            version,
+        }
+    }
+
+    /// What the final record says, if there is one.
+    async fn look_up_final(&self, id: &str) -> Result<StoredJob, StoreError> {
+        match self.store.get_record(engine::final_key(id)).await? {
+            None => Ok(StoredJob::Never),
+            Some(Record::Unreadable { .. }) => Err(StoreError::Bad(format!(
+                "final record of {id} can't be read"
+            ))),
+            Some(Record::Read {
+                record: FinalRecord { state, tasks },
+                ..
+            }) => {
+                self.remember(id, state, tasks);
+                Ok(StoredJob::Final(state, tasks))
+            }
+        }
+    }
+
+    /// Whether there is a final record, readable or not.
+    pub(super) async fn has_final_record(&self, id: &str) -> Result<bool, StoreError> {
+        let record = self.store.get_record::<FinalRecord>(engine::final_key(id));
+        Ok(record.await?.is_some())
     }
 
     /// The final state and the number of tasks of a job that is known here to be over.
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -5,16 +5,19 @@
 //! cannot change, is answered from memory.
 //!
 //! This module has the routes and handlers; [`submissions`] and [`cancellation`] write jobs'
-//! records, [`lookup`] reads them, [`responses`] builds the responses, and [`limit`] bounds the
-//! connections.
+//! records, [`lookup`] reads them, [`bodies`] reads requests' bodies, [`responses`] builds the
+//! responses, [`limit`] bounds the connections, and [`server`] serves HTTP on them.
 
+mod bodies;
 mod cancellation;
 mod limit;
 mod lookup;
 mod responses;
+mod server;
 mod submissions;
 
-pub use limit::{Connections, LimitedListener};
+pub use limit::Connections;
+pub use server::serve;
 
 use crate::constants as k;
 use crate::engine::{Command, Reply, View};
@@ -32,7 +35,8 @@
 use axum::http::{HeaderValue, StatusCode};
 use axum::middleware::map_response;
 use axum::routing::{get, post};
-use responses::{Answer, answer, read_body, refuse, unavailable};
+use bodies::{BodyBudget, Sender};
+use responses::{Answer, answer, refuse, unavailable};
 use std::sync::{Arc, Mutex};
 use tokio::sync::{Semaphore, watch};
 
@@ -47,6 +51,8 @@
     finals: Mutex<Recent<String, (JobState, u64)>>,
     /// For users' requests at once.
     calls: Semaphore,
+    /// For the bodies of requests at once.
+    bodies: BodyBudget,
     /// For cancellations that other nodes are being told of.
     notifications: Arc<Semaphore>,
 }
@@ -59,7 +65,9 @@
         view: watch::Receiver<View>,
         peers: Arc<Vec<Link>>,
     ) -> Arc<Self> {
+        let bodies = BodyBudget::new(settings.body_budget());
         Arc::new(Api {
+            bodies,
             settings,
             store,
             commands,
@@ -122,8 +130,8 @@
 }
 
 async fn submit(State(api): State<Arc<Api>>, body: Body) -> Answer {
-    match read_body(body).await {
-        Ok(body) => api.bounded(api.submit(&body)).await,
+    match api.bodies.read(body, Sender::User).await {
+        Ok(body) => api.bounded(api.submit(&body.bytes)).await,
         Err(refusal) => refusal,
     }
 }
@@ -154,11 +162,11 @@
 }
 
 async fn report(State(api): State<Arc<Api>>, body: Body) -> Answer {
-    let body = match read_body(body).await {
+    let body = match api.bodies.read(body, Sender::Worker).await {
         Ok(body) => body,
         Err(refusal) => return refusal,
     };
-    let report: Report = match decode(&body) {
+    let report: Report = match decode(&body.bytes) {
         Ok(report) => report,
         Err(e @ (DecodeError::NotAMap | DecodeError::Invalid(_))) => {
             return refuse(StatusCode::BAD_REQUEST, &e.to_string());
--- a/src/api/submissions.rs
+++ b/src/api/submissions.rs
@@ -134,8 +134,7 @@
     /// Whether a job was ever accepted. Most that the engine does not know are over: their final
     /// record is looked for first, and again after the live one, from which a job moves there.
     async fn was_accepted(&self, id: &str) -> Result<bool, StoreError> {
-        let over =
-            self.remembered(id).is_some() || self.get(engine::final_key(id)).await?.is_some();
+        let over = self.remembered(id).is_some() || self.has_final_record(id).await?;
         Ok(over || !matches!(self.look_up(id).await?, StoredJob::Never))
     }
 }
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -23,9 +23,25 @@
 
 /// Bytes of a request or response body, by the protocol.
 pub const BODY_MAX: usize = 64 * 1024;
-/// Bytes of an answer of the state service or cloud: lists reach 512 KiB, and a watch has no
-/// stated limit, so a few times that; more would endanger the process's memory.
-pub const ANSWER_MAX: usize = 4 * 1024 * 1024;
+/// Bytes that are read of a longer body before its sender is cut off.
+pub const BODY_READ_MAX: usize = 4 * BODY_MAX;
+/// How long a request's body may take to arrive: a user gives up after 5 s, a worker after 4.
+pub const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Bytes that one connection buffers of what it reads, the least that the HTTP library allows: the
+/// head of a request has to fit, longer bodies come in pieces.
+pub const CONNECTION_BUFFER: usize = 8 * 1024;
+/// Part of a machine's memory for bodies of requests at once: with what is decoded from them, a few
+/// times as large, a quarter of the memory at most.
+pub const BODIES_MEMORY_PART: usize = 16;
+/// One in so many bytes of that is for users: the rest is for workers' reports, which keep tasks alive.
+pub const USER_BODIES_PART: usize = 2;
+/// Memory of a machine if the settings do not say, MB: enough for [`DEFAULT_CONNECTIONS`].
+pub const DEFAULT_MEMORY_MB: f64 = 64.0;
+/// Memory without which a node can't work, MB: its start alone takes five.
+pub const MEMORY_MB_MIN: f64 = 16.0;
+/// Bytes of an answer of the state service or cloud: lists reach 512 KiB. A watch has no stated limit:
+/// what changed is read again in pages if it is more. Decoded it takes several times as much memory.
+pub const ANSWER_MAX: usize = 1024 * 1024;
 /// Bytes of a job's record kept free when it is accepted: later ones tell when it could begin.
 pub const RECORD_SPARE: usize = 64;
 /// Bytes of a state-service listing page come to 512 KiB at most; this many items keep pages
--- a/src/http.rs
+++ b/src/http.rs
@@ -2,7 +2,7 @@
 
 use crate::constants as k;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{Method, Request};
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -23,6 +23,9 @@
     /// Sent, perhaps executed, no answer.
     #[error("no answer: {0}")]
     NoAnswer(String),
+    /// Executed, but the answer is longer than what is read of one.
+    #[error("answer over {} bytes", k::ANSWER_MAX)]
+    TooLong,
 }
 
 #[derive(Clone)]
@@ -80,7 +83,10 @@
             let body = Limited::new(answer.into_body(), k::ANSWER_MAX)
                 .collect()
                 .await
-                .map_err(|e| CallError::NoAnswer(e.to_string()))?
+                .map_err(|e| match e.is::<LengthLimitError>() {
+                    true => CallError::TooLong,
+                    false => CallError::NoAnswer(e.to_string()),
+                })?
                 .to_bytes();
             Ok(Answer { status, body })
         };
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,8 @@
 //! The program: its command line, and nothing else.
 
 use clap::{Args, Parser, Subcommand};
+use std::convert::Infallible;
+use std::io;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use tracing_subscriber::filter::LevelFilter;
@@ -62,10 +64,10 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
-    let ended = runtime
-        .and_then(|runtime| runtime.block_on(async { Node::bind(settings).await?.serve().await }));
-    if let Err(e) = ended {
-        tracing::error!("{e}");
-    }
+    let Err(e) = runtime.and_then(|runtime| -> io::Result<Infallible> {
+        let node = runtime.block_on(Node::bind(settings))?;
+        Ok(runtime.block_on(node.serve()))
+    });
+    tracing::error!("{e}");
     ExitCode::FAILURE
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,6 +1,6 @@
 //! A running controller node: the engine's queue, and the tasks that carry out its effects.
 
-use crate::api::{Api, Connections, LimitedListener};
+use crate::api::{self, Api, Connections};
 use crate::cloud::CloudClient;
 use crate::constants as k;
 use crate::engine::{Command, Effect, Engine, Reply, ReplyId, View};
@@ -10,6 +10,7 @@
 use crate::store::{StoreClient, Urgency};
 use crate::workers::WorkerClient;
 use std::collections::HashMap;
+use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -83,8 +84,8 @@
         self.front.local_addr()
     }
 
-    /// Runs until an error on a listener.
-    pub async fn serve(self) -> io::Result<()> {
+    /// Runs for ever.
+    pub async fn serve(self) -> Infallible {
         let Node {
             settings,
             front,
@@ -122,8 +123,8 @@
         ));
         let connections = Connections::new(settings.front_connections(), settings.timing().pause());
         let api = Api::new(settings, store, commands, view, peers);
-        let front = LimitedListener::new(front, connections.clone());
-        axum::serve(front, api.router(connections)).await
+        let router = api.router(connections.clone());
+        match api::serve(front, router, connections).await {}
     }
 }
 
--- a/src/settings/cluster.rs
+++ b/src/settings/cluster.rs
@@ -85,13 +85,20 @@
 #[derive(Debug, Clone, Deserialize)]
 #[serde(default)]
 pub struct MachineLimits {
+    /// Sockets at once.
     pub max_connections: usize,
+    /// Memory of the process, MB.
+    pub mem_mb: f64,
+    /// Share of a processor core; none if it is not limited.
+    pub cpu_share: Option<f64>,
 }
 
 impl Default for MachineLimits {
     fn default() -> Self {
         MachineLimits {
             max_connections: k::DEFAULT_CONNECTIONS,
+            mem_mb: k::DEFAULT_MEMORY_MB,
+            cpu_share: None,
         }
     }
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -116,12 +116,21 @@
         most.saturating_sub(OWN_CONNECTIONS).max(most / 2)
     }
 
+    /// Bytes that the bodies of requests may take at one time.
+    pub fn body_budget(&self) -> usize {
+        let memory = self.cluster.machine_limits.mem_mb * 1e6;
+        (memory as usize / k::BODIES_MEMORY_PART).max(MIN_BODIES * k::BODY_MAX)
+    }
+
     /// Largest record this service writes, in bytes of its JSON form.
     pub fn value_max(&self) -> usize {
         (self.cluster.state.value_kb * 1024.0) as usize
     }
 }
 
+/// Bodies of the largest size for which there is always memory.
+const MIN_BODIES: usize = 4;
+
 /// Sockets that a node uses at most beside those of `front`.
 const OWN_CONNECTIONS: usize =
     k::USER_CALLS + k::WORKER_CALLS + k::PEER_CONNECTIONS + 4 * k::POOL_IDLE;
--- a/src/settings/validation.rs
+++ b/src/settings/validation.rs
@@ -1,6 +1,6 @@
 //! Checks on the values of the platform's settings, beyond their form.
 
-use super::cluster::{Cluster, State, Workers};
+use super::cluster::{Cluster, MachineLimits, State, Workers};
 use super::{Settings, Team};
 use crate::constants as k;
 
@@ -45,7 +45,7 @@
     validate_positive_amounts(cluster)?;
     validate_state_minima(&cluster.state)?;
     validate_list_lag(cluster)?;
-    validate_connections(cluster)?;
+    validate_machine_limits(&cluster.machine_limits)?;
     for team in &cluster.teams {
         validate_team(team)?;
     }
@@ -126,11 +126,22 @@
     Ok(())
 }
 
-fn validate_connections(cluster: &Cluster) -> Validity {
-    if cluster.machine_limits.max_connections < k::CONNECTIONS_MIN {
-        let field = "cluster.machine_limits.max_connections";
+fn validate_machine_limits(limits: &MachineLimits) -> Validity {
+    let field = |name: &str| format!("cluster.machine_limits.{name}");
+    if limits.max_connections < k::CONNECTIONS_MIN {
         let allowed = format!("expected at least {}", k::CONNECTIONS_MIN);
-        return Err(InvalidField::new(field, allowed));
+        return Err(InvalidField::new(field("max_connections"), allowed));
+    }
+    if !(k::MEMORY_MB_MIN..=AMOUNT_MAX).contains(&limits.mem_mb) {
+        let allowed = format!("expected a number from {} to 1e6", k::MEMORY_MB_MIN);
+        return Err(InvalidField::new(field("mem_mb"), allowed));
+    }
+    if limits
+        .cpu_share
+        .is_some_and(|share| !(share > 0.0 && share <= AMOUNT_MAX))
+    {
+        let allowed = "expected a number above 0, at most 1e6";
+        return Err(InvalidField::new(field("cpu_share"), allowed));
     }
     Ok(())
 }
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -1,6 +1,6 @@
 //! Carries out calls to the state service, within its published limits.
 
-use super::{StoreCall, StoreError, StoreReply, Urgency};
+use super::{Record, StoreCall, StoreError, StoreReply, Urgency};
 use crate::constants as k;
 use crate::http::{Answer, CallError, HttpClient};
 use crate::settings::Settings;
@@ -8,6 +8,7 @@
 use crate::wire::store as w;
 use crate::wire::{decode, encode};
 use hyper::Method;
+use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -83,7 +84,25 @@
         Ok(())
     }
 
+    /// Makes the call and reads its answer.
     pub async fn call(&self, call: &StoreCall, urgency: Urgency) -> Result<StoreReply, StoreError> {
+        let answer = self.exchange(call, urgency).await?;
+        read(call, &answer)
+    }
+
+    /// Reads the record under a key, on behalf of a user. It is decoded where it stands in the answer:
+    /// by way of a value of any form, each poll cost a quarter more.
+    pub async fn get_record<T: DeserializeOwned>(
+        &self,
+        key: String,
+    ) -> Result<Option<Record<T>>, StoreError> {
+        let call = StoreCall::Get { key };
+        let answer = self.exchange(&call, Urgency::User).await?;
+        read_record(&call, &answer)
+    }
+
+    /// Makes the call once its tokens are there.
+    async fn exchange(&self, call: &StoreCall, urgency: Urgency) -> Result<Answer, StoreError> {
         self.admit(call, urgency).await?;
         let mut timeout = k::STORE_TIMEOUT;
         let (method, path, body) = match call {
@@ -113,21 +132,43 @@
                 (Method::GET, path, None)
             }
         };
-        let answer = self
-            .http
+        self.http
             .call(method, self.addr, &path, body, timeout)
             .await
-            .map_err(|e| match e {
-                CallError::NotSent(why) => StoreError::Refused(why),
-                CallError::NoAnswer(why) => StoreError::Unknown(why),
-            })?;
-        read(call, &answer)
+            .map_err(|e| match (e, call) {
+                (CallError::NotSent(why), _) => StoreError::Refused(why),
+                // More has changed than is read at once: the records are read again, in pages.
+                (CallError::TooLong, StoreCall::Watch { .. }) => StoreError::TooOld,
+                (e, _) => StoreError::Unknown(e.to_string()),
+            })
+    }
+}
+
+/// Reads the answer to a call for one key as a record of the expected form.
+fn read_record<T: DeserializeOwned>(
+    call: &StoreCall,
+    answer: &Answer,
+) -> Result<Option<Record<T>>, StoreError> {
+    if answer.status == 200
+        && let Ok(item) = decode::<w::Item<T>>(&answer.body)
+    {
+        return Ok(Some(Record::Read {
+            record: item.value,
+            version: item.version,
+        }));
+    }
+    match read(call, answer)? {
+        StoreReply::Got(None) => Ok(None),
+        StoreReply::Got(Some(item)) => Ok(Some(Record::Unreadable {
+            version: item.version,
+        })),
+        _ => Err(StoreError::Bad("unexpected answer".into())),
     }
 }
 
 /// Reads an answer to `call`.
 fn read(call: &StoreCall, answer: &Answer) -> Result<StoreReply, StoreError> {
-    fn body<T: serde::de::DeserializeOwned>(answer: &Answer) -> Result<T, StoreError> {
+    fn body<T: DeserializeOwned>(answer: &Answer) -> Result<T, StoreError> {
         decode(&answer.body).map_err(|e| StoreError::Unknown(format!("unreadable answer: {e}")))
     }
     match (call, answer.status) {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -50,6 +50,15 @@
     Changed(Changes),
 }
 
+/// A record read from under a key.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Record<T> {
+    /// It has the expected form.
+    Read { record: T, version: u64 },
+    /// It is there, but is of another form.
+    Unreadable { version: u64 },
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum StoreError {
     /// Conditions failed on these keys: not executed.
@@ -58,8 +67,8 @@
     /// The lease is over.
     #[error("no such lease")]
     NoLease,
-    /// The watch asks for changes that are no longer kept.
-    #[error("changes no longer kept")]
+    /// The watch asks for changes that are no longer kept, or for more than is read at once.
+    #[error("changes no longer kept, or too many")]
     TooOld,
     /// Refused, certainly not executed (429, 503, or no token of our own).
     #[error("not executed: {0}")]
--- a/src/wire/store.rs
+++ b/src/wire/store.rs
@@ -3,13 +3,13 @@
 use rmpv::Value;
 use serde::{Deserialize, Serialize};
 
-/// A key with its value.
+/// A key with its value: of any form, or of the form that its reader expects.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Item {
+pub struct Item<V = Value> {
     #[serde(rename = "path")]
     pub key: String,
     #[serde(rename = "data")]
-    pub value: Value,
+    pub value: V,
     #[serde(rename = "stamp")]
     pub version: u64,
 }
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -33,7 +33,7 @@
         attempt: n,
         state: worker::TaskState::Exited,
         why: Some(worker::Why::Done),
-        saved: (n % 2 == 0).then_some(true),
+        saved: n.is_multiple_of(2).then_some(true),
     };
     let report = worker::Report {
         machine: "host-000231".into(),
