Bounds that carry 4,000 machines; lists that never end are given up; passes copy only what has room

Queues of direct orders, redirected workers, returned machines, arrivals and counted tasks stood at 400 to 8,192 with reasons that called 1,900 machines the largest fleet: now multiples of one bound of 8,000 machines.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -49,6 +49,9 @@
 pub const LIST_PAGE: u64 = 200;
 /// Machines a page of the cloud's list: the protocol's most.
 pub const MACHINE_PAGE: u64 = 500;
+/// Pages of one list: four times those of [`FLEET_BOUND`]. A list that goes on is given up and begun
+/// again later.
+pub const MACHINE_PAGES_MOST: u32 = 4 * (FLEET_BOUND as u32).div_ceil(MACHINE_PAGE as u32);
 
 /// Outcomes of the node's own calls, and peers' messages, waiting for the engine, beside one
 /// request of each connection. Past all of that requests are refused with 503.
@@ -98,8 +101,12 @@
 /// Orders sent directly to workers at once: a hung machine takes up [`CONNECT_TIMEOUT`], and when
 /// a rack hangs, the stops of its gangs' other tasks must go out within some seconds.
 pub const WORKER_CALLS: usize = 96;
-/// And waiting to be, of stops and of other calls each: twice the largest fleet.
-pub const WORKER_CALLS_WAITING: usize = 4096;
+/// Machines that the bounds on memories and queues below are made for: twice the largest fleet that the
+/// service is known to run. None is refused for their number; each bound says what is lost beyond it.
+pub const FLEET_BOUND: usize = 8_000;
+/// Orders waiting to be sent directly, of stops and of other calls each: two for each machine. Beyond
+/// that the oldest go on and new ones are dropped; stops go with the answers to reports as well.
+pub const WORKER_CALLS_WAITING: usize = 2 * FLEET_BOUND;
 /// Cancellations at once that other nodes are told of: a peer that can't be reached takes up
 /// [`PEER_TIMEOUT`] for each, in which nothing else is said to it.
 pub const TELLING: usize = 4;
@@ -127,9 +134,9 @@
 
 /// How long a worker waits for the answer to its report, ms, by the protocol.
 pub const WORKER_WAIT_MS: u64 = 4_000;
-/// Workers remembered that were redirected to a leader that can't be heard: twice the largest
-/// fleet; any more are treated as if they came for the first time.
-pub const REDIRECTS_MOST: usize = 4096;
+/// Workers remembered that were redirected to a leader that can't be heard; any more are treated as
+/// if they came for the first time.
+pub const REDIRECTS_MOST: usize = FLEET_BOUND;
 /// A node that has not learnt the machine types for this long after its start, ms, serves users'
 /// questions without them: usually the first call tells, and until then others serve better.
 pub const TYPES_PATIENCE_MS: u64 = 10_000;
@@ -164,8 +171,9 @@
 pub const FAILED_FIRST_MS: u64 = 1_000;
 pub const FAILED_MOST_MS: u64 = 60_000;
 /// Returned machines remembered, so that late reports and lagging lists do not bring them back:
-/// a list is late by half a minute, a report by minutes, and a day returns a few thousand.
-pub const GONE_REMEMBERED: usize = 8192;
+/// a list is late by half a minute, a report by minutes. The oldest are forgotten first, when each
+/// machine of a fleet was returned four times.
+pub const GONE_REMEMBERED: usize = 4 * FLEET_BOUND;
 /// Tasks a record of finished tasks covers: as hexadecimal text 1 KiB, half of the least value
 /// limit that the settings may give.
 pub const DONE_PART: u32 = 4096;
@@ -192,8 +200,9 @@
 pub const REFRESH_EVERY_MS: u64 = 50;
 /// How long such a question waits in the engine, ms: below [`USER_TIMEOUT`].
 pub const ASKED_MOST_MS: u64 = 1_200;
-/// Unplaced tasks of one job that are counted: more than one rental could ever serve.
-pub const UNPLACED_MOST: u32 = 400;
+/// Unplaced tasks of one job that are counted, even if each needs a machine of its own: a larger job
+/// rents for the rest once these are placed.
+pub const UNPLACED_MOST: u32 = FLEET_BOUND as u32;
 /// Between two placing passes, ms: submissions of a burst share a round.
 pub const PLACE_EVERY_MS: u64 = 100;
 /// Between two writes of partial progress of arrays and removals of records, ms, ends of jobs do not
@@ -225,8 +234,9 @@
 pub const CANCEL_SLACK_MIN_S: f64 = 3.0;
 /// Arrivals remembered, and the time over which their rate is taken, ms: long enough for a few
 /// of each class, short enough to follow a burst. Of each some hundred bytes are kept; a burst at
-/// the largest site brings 600 in that time.
-pub const ARRIVALS_MOST: usize = 2000;
+/// 700 machines brings 600 in that time. Beyond that the oldest are forgotten, and the rate is taken
+/// over the time that the rest span.
+pub const ARRIVALS_MOST: usize = FLEET_BOUND;
 pub const ARRIVALS_MS: u64 = 180_000;
 /// A job waits this long, ms, before others are stopped for it: room often comes up by itself.
 pub const PREEMPT_AFTER_MS: u64 = 3_000;
--- a/src/engine/machines.rs
+++ b/src/engine/machines.rs
@@ -110,10 +110,11 @@
         self.all.remove(id)
     }
 
-    /// Machines that starts may be sent to, with the room that is surely free.
-    pub fn ready(&self) -> Vec<Slot> {
+    /// Machines that starts may be sent to, with the room that is surely free: at least so much.
+    pub fn ready(&self, least: Resources) -> Vec<Slot> {
         let ready = self.slots.values().filter(|seen| seen.ready);
-        ready.map(|seen| seen.slot.clone()).collect()
+        let roomy = ready.filter(|seen| least.fits_in(seen.slot.room));
+        roomy.map(|seen| seen.slot.clone()).collect()
     }
 
     /// Machines of which `which` holds and in which `least` has room.
--- a/src/engine/provisioning/consolidation.rs
+++ b/src/engine/provisioning/consolidation.rs
@@ -2,8 +2,8 @@
 //! can be returned.
 
 use crate::constants as k;
-use crate::engine::Engine;
-use crate::model::{Machine, MachineId, Placement, Spec, Stage, TaskId};
+use crate::engine::{Engine, Leader};
+use crate::model::{Machine, MachineId, Placement, Resources, Spec, Stage, TaskId};
 use crate::placement::consolidation::{self, Drainable};
 use crate::wire::user::Kind;
 use crate::wire::worker::TaskState;
@@ -13,15 +13,17 @@
     /// replicas are stopped and placed anew like any others.
     pub(in crate::engine) fn consolidate_when_due(&mut self) {
         let now = self.now;
-        if !self.holds_valid_lease() || self.awaits_first_reports() {
+        let due = |l: &Leader| now >= l.provisioning.next_consolidation_at;
+        // What goes over all machines comes last: this is asked at every step.
+        if !self.leader().is_some_and(due)
+            || !self.holds_valid_lease()
+            || self.awaits_first_reports()
+        {
             return;
         }
         let Some(provisioning) = self.leader_mut().map(|l| &mut l.provisioning) else {
             return;
         };
-        if now < provisioning.next_consolidation_at {
-            return;
-        }
         provisioning.next_consolidation_at = now + k::CONSOLIDATE_EVERY_MS;
         if !provisioning.demand.is_empty() {
             return;
@@ -50,7 +52,7 @@
             .filter(|machine| !leader.provisioning.reserved.contains(&machine.id))
             .filter_map(|machine| self.as_drainable(machine))
             .collect();
-        consolidation::choose(&candidates, &leader.machines.ready())
+        consolidation::choose(&candidates, &leader.machines.ready(Resources::default()))
     }
 
     /// The machine with its replicas, if it holds nothing else and all of them have run for a while.
--- a/src/engine/provisioning/mod.rs
+++ b/src/engine/provisioning/mod.rs
@@ -43,6 +43,8 @@
     list_complete: bool,
     /// Last machine of the page before; `None` if the next page is the first.
     list_cursor: Option<String>,
+    /// Pages read of the list that is under way.
+    list_pages: u32,
     /// Schedule of the return calls.
     returns: Retry,
     /// Time of the next housekeeping pass, ms.
@@ -79,6 +81,7 @@
             list: Retry::default(),
             list_complete: false,
             list_cursor: None,
+            list_pages: 0,
             returns: Retry::default(),
             next_housekeeping_at: now,
             next_consolidation_at: now,
--- a/src/engine/rounds/mod.rs
+++ b/src/engine/rounds/mod.rs
@@ -89,9 +89,13 @@
         let Some(leader) = self.leader() else {
             return Plan::default();
         };
+        let candidates = self.candidates();
+        if candidates.is_empty() {
+            return Plan::default();
+        }
         let bounds = self.round_bounds();
-        let mut slots = leader.machines.ready();
-        placement::plan(&self.candidates(), &mut slots, &mut self.teams(), bounds)
+        let mut slots = leader.machines.ready(placement::least_room(&candidates));
+        placement::plan(&candidates, &mut slots, &mut self.teams(), bounds)
     }
 
     /// What a round may hold so that one transaction writes it.
--- a/src/engine/tests/large.rs
+++ b/src/engine/tests/large.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 /// A fleet with four tasks on each machine: services first, then arrays that run long.
-fn fleet(machines: usize) -> World {
+pub fn fleet(machines: usize) -> World {
     let mut world = World::new(3, NO_LIMIT);
     world.page = k::LIST_PAGE as usize;
     world.run(2_000);
--- a/src/engine/tests/world.rs
+++ b/src/engine/tests/world.rs
@@ -28,6 +28,19 @@
 /// From here on a team's limit is none.
 pub const NO_LIMIT: f64 = 1e6;
 
+/// What may be wrong with the cloud's lists.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum ListFault {
+    #[default]
+    None,
+    /// Each page is the first one, and says that there are more.
+    Repeats,
+    /// There is always another page, with a machine that nobody rented.
+    Endless,
+    /// Each page names its machines twice.
+    Doubled,
+}
+
 /// What goes wrong, switched by the tests.
 #[derive(Default)]
 pub struct Faults {
@@ -71,6 +84,8 @@
     pub slow_watch: BTreeMap<usize, Ms>,
     /// The state service lists no work and no rounds.
     pub no_records: bool,
+    /// What is wrong with the cloud's lists.
+    pub list: ListFault,
     /// The cloud's lists are answered this much later than they are made, ms.
     pub slow_list: Ms,
     /// What these nodes call is answered this much later than it is carried out, ms.
@@ -178,6 +193,8 @@
     /// Tasks that take this much longer than their job says, ms.
     pub longer: BTreeMap<String, Ms>,
     reports: u64,
+    /// Pages of the cloud's lists so far.
+    pub listed_pages: u64,
     /// Where each task was started.
     places: BTreeMap<String, BTreeSet<String>>,
     /// Jobs of which something was started.
@@ -244,6 +261,7 @@
             finished: BTreeSet::new(),
             longer: BTreeMap::new(),
             reports: 0,
+            listed_pages: 0,
             places: BTreeMap::new(),
             begun: BTreeSet::new(),
             returned: Vec::new(),
@@ -1104,7 +1122,11 @@
             }
             CloudCall::List { after } => {
                 let now = self.now;
-                let after = after.unwrap_or_default();
+                self.listed_pages += 1;
+                let mut after = after.unwrap_or_default();
+                if self.faults.list == ListFault::Repeats {
+                    after.clear();
+                }
                 let listed = |(id, w): (&String, &Worker)| wc::ListedMachine {
                     id: id.clone(),
                     machine_type: "g8".into(),
@@ -1115,8 +1137,25 @@
                 };
                 let mut rest = self.workers.iter().filter(|(id, _)| **id > after);
                 let machines = rest.by_ref().take(k::MACHINE_PAGE as usize);
-                let machines = machines.map(listed).collect();
-                let more = rest.next().is_some();
+                let mut machines: Vec<wc::ListedMachine> = machines.map(listed).collect();
+                let mut more = rest.next().is_some();
+                match self.faults.list {
+                    ListFault::None => {}
+                    ListFault::Repeats => more = true,
+                    ListFault::Endless => {
+                        more = true;
+                        machines.push(wc::ListedMachine {
+                            id: format!("host-x{:06}", self.listed_pages),
+                            machine_type: "g8".into(),
+                            zone: "east".into(),
+                            spot: false,
+                            state: wc::MachineState::Booting,
+                            age_s: 1.0,
+                        });
+                    }
+                    ListFault::Doubled => machines.extend_from_within(..),
+                }
+                machines.sort_by(|a, b| a.id.cmp(&b.id));
                 Ok(CloudReply::Listed(wc::MachineList { machines, more }))
             }
         }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -261,6 +261,17 @@
     plan
 }
 
+/// The least room of machines that a round can use: those in which no candidate's task fits are left
+/// out, unless room is held back for a gang, for which full machines count as well.
+pub fn least_room(candidates: &[Candidate<'_>]) -> Resources {
+    let holds_back = |c: &Candidate<'_>| c.aged && c.job.spec.kind == Kind::Gang;
+    if candidates.iter().any(holds_back) {
+        return Resources::default();
+    }
+    let needs = candidates.iter().map(|c| c.job.spec.need);
+    needs.reduce(Resources::least_of).unwrap_or_default()
+}
+
 /// Brings the slots in which the least of `needs` has room to the front; how many they are. The
 /// others, most of a busy fleet, need not be looked at for each job.
 fn with_room_first(slots: &mut Vec<Slot>, needs: impl Iterator<Item = Resources>) -> usize {
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -1,6 +1,8 @@
 use super::*;
 use crate::model::Phase;
 use crate::wire::user::tests::job as wire_job;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 pub fn slot(id: &str, zone: &str, gpus: f64) -> Slot {
     let size = Resources::capacity(64.0, gpus, 512.0);
@@ -181,3 +183,61 @@
         }
     }
 }
+
+/// Machines without room for any candidate's task make no difference to a round, so that a pass need
+/// not copy them.
+#[test]
+fn machines_without_room_for_anybody_do_not_change_a_round() {
+    let seed = 11;
+    let mut random = SmallRng::seed_from_u64(seed);
+    let kinds = [Kind::Array, Kind::Gang, Kind::Service];
+    let mut left_out = 0;
+    for round in 0..300 {
+        let mut all: Vec<Slot> = (0..random.random_range(1..30))
+            .map(|n| slot(&format!("m{n:02}"), ["east", "west"][n % 2], 8.0))
+            .collect();
+        for slot in &mut all {
+            slot.room.gpus = random.random_range(0..=8) * 1000;
+            if random.random_bool(0.3) {
+                slot.images.push("img-1".into());
+            }
+        }
+        let jobs: Vec<(JobId, Job)> = (0..random.random_range(1..6))
+            .map(|n| {
+                let kind = kinds[random.random_range(0..kinds.len())];
+                let gpus = f64::from(random.random_range(2..6));
+                let change = |job: &mut crate::wire::user::Job| {
+                    job.gpus = gpus;
+                    job.one_zone = kind == Kind::Gang && n % 2 == 0;
+                    job.spread = kind == Kind::Service;
+                };
+                let tasks = random.random_range(1..6);
+                (JobId::from(&*format!("run-{n}")), job(kind, tasks, change))
+            })
+            .collect();
+        let aged = random.random_bool(0.2);
+        let candidates: Vec<Candidate<'_>> = jobs
+            .iter()
+            .map(|(id, job)| Candidate {
+                id,
+                job,
+                guaranteed: true,
+                aged,
+                zones: BTreeMap::new(),
+            })
+            .collect();
+        let least = least_room(&candidates);
+        let roomy = all.iter().filter(|slot| least.fits_in(slot.room));
+        let mut roomy: Vec<Slot> = roomy.cloned().collect();
+        left_out += all.len() - roomy.len();
+        let bounds = Bounds {
+            starts: 100,
+            jobs: 100,
+            large_gang: true,
+        };
+        let whole = plan(&candidates, &mut all, &mut Teams::default(), bounds);
+        let part = plan(&candidates, &mut roomy, &mut Teams::default(), bounds);
+        assert_eq!(whole, part, "seed {seed}, round {round}");
+    }
+    assert!(left_out > 100, "{left_out} left out");
+}
