--- a/benches/load/main.rs
+++ b/benches/load/main.rs
@@ -24,7 +24,8 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use umbervale::http::HttpClient;
 use umbervale::wire::encode;
 use umbervale::wire::user::{Job, Kind, Priority};
@@ -46,6 +47,16 @@
     /// Length of each measured phase, s.
     #[arg(long, default_value_t = 20)]
     seconds: u64,
+    /// Connections that only stay open, in a phase of their own.
+    #[arg(long, default_value_t = 0)]
+    connections: usize,
+    /// Jobs that wait for machines, in a phase of their own before any machine is rented.
+    #[arg(long, default_value_t = 0)]
+    waiting: usize,
+    /// Between two reports of a worker that has nothing new to tell, s: longer for fleets that are too
+    /// large for a node under callgrind.
+    #[arg(long, default_value_t = 3)]
+    report_every: u64,
     /// Submissions a second in the busy phase.
     #[arg(long, default_value_t = 2)]
     submissions: u64,
@@ -82,7 +93,7 @@
     std::fs::create_dir_all(&directory).unwrap();
     let nodes = [free_address("n0").await, free_address("n1").await];
     let fronts = nodes.iter().map(|node| (node.name.clone(), node.front));
-    let fleet = Fleet::new(options.machines, fronts.collect());
+    let fleet = Fleet::new(Duration::from_secs(options.report_every), fronts.collect());
     let state = serve(Arc::<StateService>::default().router()).await;
     let cloud = serve(cloud::router(fleet.clone())).await;
     for node in &nodes {
@@ -129,6 +140,20 @@
         self.pass_time().await;
         self.end_phase("idle");
         // An eighth of the machines is left for the arrays of the busy phase.
+        let open = self.open_connections().await;
+        if !open.is_empty() {
+            self.end_phase("connections");
+        }
+        drop(open);
+        // They ask for more than any zone has, until the fleet may grow.
+        for _ in 0..self.options.waiting {
+            self.submit("run-2", Kind::Array).await;
+        }
+        if self.options.waiting > 0 {
+            tokio::time::sleep(Duration::from_secs(2)).await;
+            self.end_phase("waiting jobs");
+        }
+        self.fleet.allow(self.options.machines);
         let services = (self.options.machines - self.options.machines / 8) as u64;
         for _ in 0..services {
             self.submit(SERVICE_PREFIX, Kind::Service).await;
@@ -155,6 +180,22 @@
         }
     }
 
+    /// Connections on which a request was answered and that stay open.
+    async fn open_connections(&self) -> Vec<TcpStream> {
+        let mut open = Vec::new();
+        for _ in 0..self.options.connections {
+            let mut stream = TcpStream::connect(self.front).await.unwrap();
+            stream
+                .write_all(b"GET /ready HTTP/1.1\r\nhost: n\r\n\r\n")
+                .await
+                .unwrap();
+            let mut answer = [0; 1024];
+            assert!(stream.read(&mut answer).await.unwrap() > 0);
+            open.push(stream);
+        }
+        open
+    }
+
     fn reports(&self) -> u64 {
         self.fleet.reports.load(Ordering::Relaxed)
     }
--- a/benches/load/workers.rs
+++ b/benches/load/workers.rs
@@ -7,7 +7,7 @@
 use axum::routing::post;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -19,8 +19,6 @@
 use umbervale::wire::worker::{TaskState, Why};
 use umbervale::wire::{decode, encode};
 
-/// Between two reports that tell nothing new.
-const REPORT_EVERY: Duration = Duration::from_secs(3);
 /// Least time between two reports.
 const REPORT_LEAST: Duration = Duration::from_millis(500);
 /// How long a worker waits for an answer: longer than the protocol's 4 s, since a node under
@@ -54,26 +52,29 @@
     /// Wakes workers that have something new to report.
     changed: Notify,
     /// Most machines.
-    capacity: usize,
+    capacity: AtomicUsize,
     rented: AtomicU64,
     /// Reports answered with 200.
     pub reports: AtomicU64,
     /// Reports answered otherwise, or not at all.
     pub refused: AtomicU64,
     nodes: Vec<(String, SocketAddr)>,
+    /// Between two reports that tell nothing new.
+    report_every: Duration,
 }
 
 impl Fleet {
-    /// A fleet without machines, whose workers report to `nodes`.
-    pub fn new(capacity: usize, nodes: Vec<(String, SocketAddr)>) -> Arc<Fleet> {
+    /// A fleet without machines, that can have none yet, whose workers report to `nodes`.
+    pub fn new(report_every: Duration, nodes: Vec<(String, SocketAddr)>) -> Arc<Fleet> {
         Arc::new(Fleet {
             machines: Mutex::default(),
             changed: Notify::new(),
-            capacity,
+            capacity: AtomicUsize::new(0),
             rented: AtomicU64::new(0),
             reports: AtomicU64::new(0),
             refused: AtomicU64::new(0),
             nodes,
+            report_every,
         })
     }
 
@@ -81,6 +82,11 @@
         self.machines.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Lets the cloud rent up to so many machines.
+    pub fn allow(&self, machines: usize) {
+        self.capacity.store(machines, Ordering::Relaxed);
+    }
+
     /// How many machines there are, and how many tasks run on them.
     pub fn size(&self) -> (usize, usize) {
         let machines = self.machines();
@@ -93,7 +99,7 @@
     pub fn rent(self: &Arc<Self>, rent: &wire_cloud::Rent) -> Vec<String> {
         let mut names = Vec::new();
         for _ in 0..rent.count {
-            if self.machines().len() >= self.capacity {
+            if self.machines().len() >= self.capacity.load(Ordering::Relaxed) {
                 break;
             }
             let number = self.rented.fetch_add(1, Ordering::Relaxed);
@@ -184,7 +190,7 @@
         };
         let mut node = number as usize % self.nodes.len();
         // Reports of a fleet that was rented at once are spread evenly, without chance.
-        let phase = REPORT_EVERY.mul_f64((number % 97) as f64 / 97.0);
+        let phase = self.report_every.mul_f64((number % 97) as f64 / 97.0);
         let mut last_tasks = 0;
         tokio::time::sleep(phase).await;
         loop {
@@ -246,7 +252,7 @@
         };
         let due = match changed || tasks != last_tasks {
             true => sent + REPORT_LEAST,
-            false => sent + REPORT_EVERY,
+            false => sent + self.report_every,
         };
         while Instant::now() < due {
             let asked = self.changed.notified();
--- a/src/api/server.rs
+++ b/src/api/server.rs
@@ -32,3 +32,6 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/engine/tests/guards.rs
+++ b/src/engine/tests/guards.rs
@@ -4,6 +4,7 @@
 use super::{ends_well, quick, world_with};
 use crate::engine::records;
 use crate::wire::user::{JobState, Kind};
+use crate::wire::worker::{Task, TaskState};
 
 /// How often the machine was returned.
 fn returns(world: &World, machine: &str) -> usize {
@@ -121,3 +122,64 @@
         );
     }
 }
+
+/// Guards against room that is out of date: a task that was started is named for the first time, and
+/// neither runs nor fetches, since its gang is not complete. The machine's lock was not taken off until
+/// something else on it changed.
+#[test]
+fn a_started_task_that_only_waits_for_its_gang_unlocks_its_machine() {
+    let (mut world, machine) = world_with_one_idle_machine();
+    world.submit(quick("run-2", Kind::Gang, 1));
+    let started = |w: &World| w.workers[&machine].tasks.contains_key("run-2/0");
+    let waits = (0..10_000).find(|_| {
+        world.run(1);
+        started(&world)
+    });
+    assert!(waits.is_some(), "not started");
+    let mut report = world.reports(&machine).pop().unwrap();
+    report.seq += 1;
+    report.tasks = vec![Task {
+        task: "run-2/0".into(),
+        attempt: world.workers[&machine].tasks["run-2/0"].attempt,
+        state: TaskState::Waiting,
+        why: None,
+        saved: None,
+    }];
+    world.repeat_reports(&[report]);
+    let leader = world.leader().unwrap();
+    assert!(world.engine(leader).unwrap().slots_agree());
+    ends_well(&mut world, "run-2", 60_000);
+}
+
+/// Guards against tasks that are taken for present: a report is compared task by task only if it does
+/// not name as many as are placed there, and here it names one less.
+#[test]
+fn a_single_task_that_its_machine_has_lost_is_placed_again() {
+    for tasks in [1, 3] {
+        let mut world = world_with(vec![quick("run-1", Kind::Service, tasks)]);
+        let all = |w: &World| w.running("run-1") as u64 == tasks;
+        assert!(world.run_until(60_000, all));
+        world.run(5_000);
+        let starts = world.starts;
+        let mut workers = world.workers.values_mut();
+        assert!(workers.any(|worker| worker.tasks.remove("run-1/0").is_some()));
+        assert!(world.run_until(30_000, |w| w.starts > starts && all(w)));
+        assert_eq!(world.starts, starts + 1);
+        assert_eq!(world.broken, Vec::<String>::new());
+    }
+}
+
+/// Guards against stops that are sent directly only: none of them arrives here, and the answers to
+/// reports carry them as well.
+#[test]
+fn stops_go_with_the_answers_to_reports_too() {
+    let mut world = world_with(vec![quick("run-1", Kind::Gang, 2)]);
+    assert!(world.run_until(60_000, |w| w.running("run-1") == 2));
+    world.faults.lose_direct = true;
+    // One of the gang is gone: the other is stopped.
+    let mut workers = world.workers.values_mut();
+    assert!(workers.any(|worker| worker.tasks.remove("run-1/0").is_some()));
+    let stopped = |w: &World| w.workers.values().all(|w| !w.tasks.contains_key("run-1/1"));
+    assert!(world.run_until(12_000, stopped), "{}", world.describe());
+    ends_well(&mut world, "run-1", 120_000);
+}
--- a/src/engine/tests/world.rs
+++ b/src/engine/tests/world.rs
@@ -77,6 +77,8 @@
     pub late_write: Option<&'static str>,
     /// Machines whose reports reach no node, while direct orders reach them.
     pub mute: BTreeSet<String>,
+    /// Direct orders reach no machine.
+    pub lose_direct: bool,
     /// Of every nth report a copy arrives again, 2 to 38 s later, at all nodes.
     pub copy_every: u64,
     /// Calls and watches' answers of these nodes take this much longer, ms.
@@ -643,7 +645,8 @@
             }
             Ev::Receive(name, seq, reply) => self.receive(&name, seq, reply),
             Ev::Direct(name, direct) => {
-                if self.faults.deaf.contains(&name) || self.faults.cut.contains(&name) {
+                let deaf = self.faults.deaf.contains(&name) || self.faults.cut.contains(&name);
+                if deaf || self.faults.lose_direct {
                     return;
                 }
                 // A machine that hangs executes it afterwards, if session and token still match.
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -19,6 +19,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
+use umbervale::constants::USER_CALLS;
 use umbervale::http::{Answer, HttpClient};
 use umbervale::model::Token;
 use umbervale::node::Node;
@@ -40,6 +41,8 @@
     kv: Mutex<Kv>,
     changed: Notify,
     down: AtomicBool,
+    /// Reads of single keys are not answered.
+    stalled: AtomicBool,
     /// The leader writes a job's end just before its live record is read.
     ends: AtomicBool,
 }
@@ -58,6 +61,9 @@
 }
 
 async fn one(State(s): Shared, Path(key): Path<String>) -> (StatusCode, Vec<u8>) {
+    if s.stalled.load(Ordering::Relaxed) {
+        return std::future::pending().await;
+    }
     if s.down.load(Ordering::Relaxed) {
         return (StatusCode::SERVICE_UNAVAILABLE, Vec::new());
     }
@@ -424,17 +430,10 @@
     );
 }
 
-#[tokio::test]
-async fn workers_get_the_token_or_are_refused() {
-    let (client, _standin) = node().await;
-    assert_eq!(
-        client
-            .status(Method::POST, "/v1/report", Some(b"\x81".to_vec()))
-            .await,
-        400
-    );
-    let mut report = Report {
-        machine: "host-000001".into(),
+/// The first report of a machine without tasks.
+fn report_of(machine: &str) -> Report {
+    Report {
+        machine: machine.into(),
         addr: "127.0.0.1:1".into(),
         machine_type: "g8".into(),
         zone: "east".into(),
@@ -444,7 +443,19 @@
         token: 0,
         notice_s: None,
         tasks: Vec::new(),
-    };
+    }
+}
+
+#[tokio::test]
+async fn workers_get_the_token_or_are_refused() {
+    let (client, _standin) = node().await;
+    assert_eq!(
+        client
+            .status(Method::POST, "/v1/report", Some(b"\x81".to_vec()))
+            .await,
+        400
+    );
+    let mut report = report_of("host-000001");
     let leads = async {
         loop {
             report.seq += 1;
@@ -580,6 +591,50 @@
     assert_eq!(status, 201);
 }
 
+/// Users ask more than a slow state service answers: what is beyond the bound is told at once when to
+/// come back, and workers' reports are answered meanwhile.
+#[tokio::test]
+async fn a_flood_of_questions_is_answered_at_once_and_holds_up_no_report() {
+    let (client, standin) = node().await;
+    let client = Arc::new(client);
+    let mut report = report_of("host-000001");
+    let lead = async {
+        loop {
+            report.seq += 1;
+            let body = Some(encode(&report));
+            if client.status(Method::POST, "/v1/report", body).await == 200 {
+                return;
+            }
+        }
+    };
+    let leads = tokio::time::timeout(Duration::from_secs(20), lead).await;
+    leads.expect("leads in time");
+    standin.stalled.store(true, Ordering::Relaxed);
+    let mut questions = tokio::task::JoinSet::new();
+    for n in 0..2 * USER_CALLS {
+        let client = client.clone();
+        questions.spawn(async move {
+            let path = format!("/submissions/run-{n}");
+            client.send(Method::GET, &path, None).await
+        });
+    }
+    // Those beyond the bound are answered although none of the others is.
+    for _ in 0..USER_CALLS {
+        let refused = questions.join_next().await.unwrap().unwrap();
+        assert_eq!(refused.status, 503);
+    }
+    assert_eq!(questions.len(), USER_CALLS);
+    report.seq += 1;
+    let body = Some(encode(&report));
+    assert_eq!(client.status(Method::POST, "/v1/report", body).await, 200);
+    assert_eq!(client.status(Method::GET, "/ready", None).await, 200);
+    assert_eq!(questions.len(), USER_CALLS);
+    // The others are not kept for longer than a user waits.
+    while let Some(late) = questions.join_next().await {
+        assert_eq!(late.unwrap().status, 503);
+    }
+}
+
 /// A leader that the state service refuses hears of a cancellation from the node that confirms it.
 #[tokio::test]
 async fn peers_are_told_of_a_cancellation() {
