Memory of a node at its worst as a sum of bounds; check and the log warn of machines that are too small

What callers can fill (connections, bodies, answers, caches) is added up from constants that name their measurement; a test holds the sum against 37, 46 and 160 MB. mem_mb and cpu_share are checked.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -30,11 +30,34 @@
 /// Bytes that one connection buffers of what it reads, the least that the HTTP library allows: the
 /// head of a request has to fit, longer bodies come in pieces.
 pub const CONNECTION_BUFFER: usize = 8 * 1024;
-/// Part of a machine's memory for bodies of requests at once: with what is decoded from them, a few
-/// times as large, a quarter of the memory at most.
+/// Part of a machine's memory for bodies of requests at once: with what is decoded from them, three
+/// times as large, a fifth of the memory at most.
 pub const BODIES_MEMORY_PART: usize = 16;
 /// One in so many bytes of that is for users: the rest is for workers' reports, which keep tasks alive.
 pub const USER_BODIES_PART: usize = 2;
+/// Bytes that the process holds at its start, as measured.
+pub const START_BYTES_HELD: usize = 5_200_000;
+/// Bytes that an open connection holds, [`CONNECTION_BUFFER`] included: 11,200 measured.
+pub const CONNECTION_BYTES_HELD: usize = 11_500;
+/// Bytes that a machine holds with its slot, eight tasks and their part of jobs and rounds, beside its
+/// connection: 10,000 measured at 1,000 machines.
+pub const MACHINE_BYTES_HELD: usize = 10_500;
+/// Bytes that a remembered final state holds.
+pub const FINAL_BYTES_HELD: usize = 250;
+/// How many times its encoded size a request's body takes with what is decoded from it: a report's task
+/// of 45 bytes becomes 90.
+pub const BODY_DECODED_FACTOR: usize = 3;
+/// The same of an answer of the state service: a record's value becomes a tree with a node for each key
+/// and each value.
+pub const ANSWER_DECODED_FACTOR: usize = 7;
+/// Large answers that are worked on at once: a watch's, and a page of a list. Users' are a record each.
+pub const ANSWERS_HELD: usize = 2;
+/// Bytes of such an answer: a page of lists, by the protocol.
+pub const ANSWER_USUAL_MAX: usize = 512 * 1024;
+/// The fleet that settings should carry; below it operators are warned.
+pub const FLEET_WARNED: usize = 100;
+/// The least share of a core that the service was measured with, at 692 machines.
+pub const CPU_SHARE_MEASURED: f64 = 0.019;
 /// Memory of a machine if the settings do not say, MB: enough for [`DEFAULT_CONNECTIONS`].
 pub const DEFAULT_MEMORY_MB: f64 = 64.0;
 /// Memory without which a node can't work, MB: its start alone takes five.
--- a/src/main.rs
+++ b/src/main.rs
@@ -47,7 +47,11 @@
             return ExitCode::from(2);
         }
     };
+    let warnings = settings.warnings();
     if !serve {
+        for warning in warnings {
+            eprintln!("umbervale: {}: warning: {warning}", files.config.display());
+        }
         println!("{}: valid, node {}", files.config.display(), settings.node);
         return ExitCode::SUCCESS;
     }
@@ -61,6 +65,9 @@
         .with_writer(std::io::stderr)
         .with_ansi(false)
         .init();
+    for warning in warnings {
+        tracing::warn!("{warning}");
+    }
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,14 +1,16 @@
 //! Settings: the platform's TOML file, checked, and what is derived from it.
 //!
 //! [`cluster`] and [`team`] have the parts of the file, [`validation`] the checks on its values,
-//! [`timing`] the durations that follow from them, and [`operator`] the operators' own file.
+//! [`timing`] the durations that follow from them, [`capacity`] the memory that it all takes, and [`operator`] the operators' own file.
 
+mod capacity;
 mod cluster;
 mod operator;
 mod team;
 mod timing;
 mod validation;
 
+pub use capacity::MemoryNeed;
 pub use cluster::{Cloud, Cluster, MachineLimits, Objective, State, Workers};
 pub use operator::Operator;
 pub use team::{Limit, Team};
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -135,3 +135,58 @@
         assert!(text.contains(field) && text.contains(allowed), "{text}");
     }
 }
+
+/// The sum of `docs/design.md`: queues, caches, bodies and connections stay below the memory of the
+/// smallest machines that the service runs on, whatever callers send, with a fleet beside them.
+#[test]
+fn what_callers_can_fill_leaves_memory_for_a_fleet() {
+    for (mem_mb, sockets, machines) in [(37.0, 1000, 692), (46.0, 1200, 470), (160.0, 4200, 4000)] {
+        let text = SAMPLE.replace("mem_mb = 98.0", &format!("mem_mb = {mem_mb:?}"));
+        let text = text.replace("= 1817", &format!("= {sockets}"));
+        let settings = Settings::parse(&text, "s.toml").unwrap();
+        let need = MemoryNeed::of(&settings);
+        let sum = need.start + need.connections + need.bodies + need.answers + need.caches;
+        assert_eq!(need.total(), sum);
+        assert!(need.bodies <= (mem_mb * 1e6) as usize / 5);
+        let carried = settings.machines_carried();
+        assert!(
+            carried >= machines,
+            "{mem_mb} MB: {carried} machines, {need:?}"
+        );
+        assert_eq!(settings.warnings(), Vec::<String>::new(), "{mem_mb} MB");
+    }
+}
+
+#[test]
+fn machine_limits_are_checked_and_too_small_ones_are_warned_of() {
+    let with = |from: &str, to: &str| Settings::parse(&SAMPLE.replace(from, to), "s.toml");
+    for (from, to) in [
+        ("mem_mb = 98.0", "mem_mb = 0.0"),
+        ("mem_mb = 98.0", "mem_mb = nan"),
+        ("cpu_share = 0.12", "cpu_share = 0.0"),
+        ("cpu_share = 0.12", "cpu_share = -1.0"),
+    ] {
+        let text = with(from, to).unwrap_err().to_string();
+        let field = from.split(' ').next().unwrap();
+        let field = format!("cluster.machine_limits.{field}");
+        assert!(text.contains(&field) && text.contains("expected"), "{text}");
+    }
+    let warnings = with("mem_mb = 98.0", "mem_mb = 30.0").unwrap().warnings();
+    assert!(warnings[0].contains("mem_mb: 30 given"), "{warnings:?}");
+    let warnings = with("cpu_share = 0.12", "cpu_share = 0.01")
+        .unwrap()
+        .warnings();
+    assert!(
+        warnings[0].contains("cpu_share: 0.01 given"),
+        "{warnings:?}"
+    );
+    let warnings = with("gpus_max = 8.0", "gpus_max = 90000.0")
+        .unwrap()
+        .warnings();
+    assert!(warnings[0].contains("allow 90000 GPUs"), "{warnings:?}");
+    // Without limits there are defaults, of which nobody is warned.
+    let limits = SAMPLE.find("[cluster.machine_limits]").unwrap();
+    let defaults = Settings::parse(&SAMPLE[..limits], "s.toml").unwrap();
+    assert_eq!(defaults.cluster.machine_limits.mem_mb, k::DEFAULT_MEMORY_MB);
+    assert_eq!(defaults.warnings(), Vec::<String>::new());
+}
