--- a/src/engine/ends.rs
+++ b/src/engine/ends.rs
@@ -5,7 +5,7 @@
 use super::records::{self, LEAD, WorkRecord};
 use super::{Engine, Op, Retry, Role};
 use crate::constants as k;
-use crate::model::{JobId, Ms, Phase};
+use crate::model::{Job, JobId, Ms, Phase};
 use crate::store::{StoreCall, StoreError, StoreReply};
 use crate::wire::store::Txn;
 use crate::wire::user::JobState;
@@ -54,129 +54,156 @@
     }
 }
 
+/// A transaction in the making, and what it writes.
+#[derive(Debug)]
+struct Draft {
+    txn: Txn,
+    batch: Batch,
+    /// Changes that a transaction may have.
+    most: usize,
+}
+
+impl Draft {
+    /// How many more changes fit.
+    fn space(&self) -> usize {
+        self.most.saturating_sub(self.txn.writes.len())
+    }
+
+    /// Adds what `write` puts into the transaction; whether it did.
+    fn add(&mut self, write: impl FnOnce(Txn) -> Txn) -> bool {
+        let before = self.txn.writes.len();
+        self.txn = write(std::mem::take(&mut self.txn));
+        self.txn.writes.len() > before
+    }
+}
+
+/// Changes that the end of a job takes.
+const CHANGES_OF_AN_END: usize = 2;
+
 impl Engine {
+    /// Writes one transaction of what has ended, if none is under way: jobs' ends first, then waiting
+    /// jobs, and now and then progress and removals.
     pub(super) fn write_ends_when_due(&mut self) {
         let now = self.now;
-        let ops = self.settings.cluster.state.txn_ops;
-        let Role::Leader(leader) = &mut self.role else {
+        let most = self.settings.cluster.state.txn_ops;
+        let Some(leader) = self.leader() else {
             return;
         };
-        let ends = &mut leader.ends;
-        if !ends.retry.due(now) {
+        if !leader.ends.retry.due(now) {
             return;
         }
-        let mut txn = Txn::default().when(LEAD, leader.version);
-        let mut batch = Batch::default();
-        while let Some(id) = ends.over.pop_first() {
+        let progress_is_due = now >= leader.ends.progress_at;
+        let mut draft = Draft {
+            txn: Txn::default().when(LEAD, leader.version),
+            batch: Batch::default(),
+            most,
+        };
+        self.draft_ends(&mut draft);
+        self.draft_steps(&mut draft);
+        if progress_is_due {
+            self.draft_progress(&mut draft);
+            self.draft_removals(&mut draft);
+            self.schedule_progress();
+        }
+        if draft.txn.writes.is_empty() {
+            return;
+        }
+        if let Some(leader) = self.leader_mut() {
+            leader.ends.retry.busy = true;
+        }
+        self.store(Op::Ends(draft.batch), StoreCall::Commit(draft.txn));
+    }
+
+    /// Jobs that are done, or cancelled and gone from all machines.
+    fn draft_ends(&mut self, draft: &mut Draft) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        while let Some(id) = leader.ends.over.pop_first() {
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
-            if txn.writes.len() + 2 > ops {
-                ends.over.insert(id);
+            if draft.space() < CHANGES_OF_AN_END {
+                leader.ends.over.insert(id);
                 break;
             }
-            txn = match job.phase {
+            let tasks = u64::from(job.spec.tasks);
+            let written = draft.add(|txn| match job.phase {
                 Phase::Done { written: false } => {
-                    let tasks = u64::from(job.spec.tasks);
                     records::end(txn, &id.0, job.version, JobState::Done, tasks)
                 }
                 Phase::Cancelled if job.live.is_empty() => txn.delete(records::job_key(&id.0)),
-                _ => continue,
-            };
-            // Named now: when the answer comes, the watch may have removed the job already.
-            let keys = job.progress.keys().cloned();
-            batch.over.push((id.clone(), keys.collect()));
-        }
-        while txn.writes.len() + 2 <= ops {
-            let Some(id) = ends.steps.pop_first() else {
-                break;
-            };
-            let writes = txn.writes.len();
-            txn = write_step(&self.pipelines, &id, self.wall, txn);
-            if txn.writes.len() > writes {
-                batch.steps.push(id);
+                _ => txn,
+            });
+            if written {
+                // Named now: when the answer comes, the watch may have removed the job already.
+                let keys = job.progress.keys().cloned().collect();
+                draft.batch.over.push((id, keys));
             }
         }
-        if now >= ends.progress_at {
-            while let Some(id) = ends.progress.pop_first() {
-                let Some(job) = self.jobs.get(&id).filter(|job| job.is_open()) else {
-                    continue;
-                };
-                let is_news = |i: &u32| !job.written.contains(*i);
-                let part = |i: u32| i / k::DONE_PART;
-                let parts: BTreeSet<u32> = job.done.iter().filter(is_news).map(part).collect();
-                // What does not fit is written the next time.
-                let now: BTreeSet<u32> =
-                    parts.iter().take(ops - txn.writes.len()).copied().collect();
-                let rest = now.len() < parts.len();
-                let mut keys = Vec::new();
-                for part in &now {
-                    let record = WorkRecord {
-                        done: job.done.part_text(*part),
-                    };
-                    // An older write that is carried out late must not undo this one.
-                    let key = records::work_key(&id, job.spec.tasks, *part);
-                    let version = job.progress.get(&key).copied().unwrap_or(0);
-                    txn = txn.when(&key, version).put(&key, records::value(&record));
-                    keys.push(key);
-                }
-                let news = job.done.iter().filter(is_news);
-                let news = news.filter(|i| now.contains(&part(*i))).collect();
-                batch.progress.push((id.clone(), news, keys));
-                if rest {
-                    ends.progress.insert(id);
-                    break;
-                }
+    }
+
+    /// Waiting jobs that may start, or are cancelled with one that they need.
+    fn draft_steps(&mut self, draft: &mut Draft) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        while draft.space() >= CHANGES_OF_AN_END
+            && let Some(id) = leader.ends.steps.pop_first()
+        {
+            if draft.add(|txn| write_step(&self.pipelines, &id, self.wall, txn)) {
+                draft.batch.steps.push(id);
             }
-            while txn.writes.len() < ops {
-                let Some(key) = ends.removals.pop_front() else {
-                    break;
-                };
-                txn = txn.delete(&key);
-                batch.removals.push(key);
+        }
+    }
+
+    /// Completed tasks of arrays that are not on record. What does not fit is written the next time.
+    fn draft_progress(&mut self, draft: &mut Draft) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        while let Some(id) = leader.ends.progress.pop_first() {
+            let Some(job) = self.jobs.get(&id).filter(|job| job.is_open()) else {
+                continue;
+            };
+            if !draft_progress_of(draft, &id, job) {
+                leader.ends.progress.insert(id);
+                break;
             }
-            let changes =
-                1000.0 * k::PROGRESS_EVERY_CHANGES / self.settings.cluster.state.write_rps;
-            ends.progress_at = now + k::PROGRESS_EVERY_MS.max(changes as u64);
         }
-        if txn.writes.is_empty() {
+    }
+
+    /// Records that nobody needs.
+    fn draft_removals(&mut self, draft: &mut Draft) {
+        let Role::Leader(leader) = &mut self.role else {
             return;
+        };
+        while draft.space() > 0
+            && let Some(key) = leader.ends.removals.pop_front()
+        {
+            draft.add(|txn| txn.delete(&key));
+            draft.batch.removals.push(key);
         }
-        ends.retry.busy = true;
-        self.store(Op::Ends(batch), StoreCall::Commit(txn));
     }
 
+    fn schedule_progress(&mut self) {
+        let rate = self.settings.cluster.state.write_rps;
+        let pause = (1000.0 * k::PROGRESS_EVERY_CHANGES / rate) as u64;
+        let at = self.now + k::PROGRESS_EVERY_MS.max(pause);
+        if let Some(leader) = self.leader_mut() {
+            leader.ends.progress_at = at;
+        }
+    }
+
+    /// The outcome of such a transaction.
     pub(super) fn on_ends_written(&mut self, batch: Batch, result: Result<StoreReply, StoreError>) {
-        let now = self.now;
-        if let Ok(StoreReply::Committed { revision }) = result {
-            if let Role::Leader(leader) = &mut self.role {
-                leader.ends.retry.worked(now);
+        match result {
+            Ok(StoreReply::Committed { revision }) => {
+                return self.on_batch_durable(batch, revision);
             }
-            for id in batch.steps {
-                self.on_step_written(&id, revision);
-            }
-            for (id, tasks, keys) in batch.progress {
-                if let Some(job) = self.jobs.get_mut(&id) {
-                    let keys = keys.into_iter().map(|key| (key, revision));
-                    job.progress.extend(keys);
-                    for index in tasks {
-                        job.written.insert(index);
-                    }
-                }
+            Err(StoreError::Conflict(failed)) if failed.iter().any(|f| f == LEAD) => {
+                return self.step_down("a commit found another leader");
             }
-            for (id, keys) in batch.over {
-                self.on_over(&id);
-                if let Role::Leader(leader) = &mut self.role {
-                    leader.ends.removals.extend(keys);
-                }
-            }
-            return;
-        }
-        if matches!(&result, Err(StoreError::Conflict(failed)) if failed.iter().any(|f| f == LEAD))
-        {
-            return self.step_down("a commit found another leader");
-        }
-        match &result {
             Err(StoreError::Bad(why)) => tracing::error!("ends refused: {why}"),
             // A write without an answer was carried out after all.
             Err(StoreError::Conflict(failed)) => {
@@ -187,21 +214,46 @@
             }
             _ => {}
         }
-        // Not written, or not known to be: everything in it may be written twice.
+        self.write_batch_again(batch);
+    }
+
+    fn on_batch_durable(&mut self, batch: Batch, revision: u64) {
+        let now = self.now;
+        if let Some(leader) = self.leader_mut() {
+            leader.ends.retry.worked(now);
+        }
+        for id in batch.steps {
+            self.on_step_written(&id, revision);
+        }
+        for (id, tasks, keys) in batch.progress {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                let keys = keys.into_iter().map(|key| (key, revision));
+                job.progress.extend(keys);
+                for index in tasks {
+                    job.written.insert(index);
+                }
+            }
+        }
+        for (id, keys) in batch.over {
+            self.on_over(&id);
+            if let Some(leader) = self.leader_mut() {
+                leader.ends.removals.extend(keys);
+            }
+        }
+    }
+
+    /// Not written, or not known to be: everything in it may be written twice.
+    fn write_batch_again(&mut self, batch: Batch) {
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        leader.ends.retry.failed(now, &mut self.rng);
-        leader
-            .ends
-            .over
-            .extend(batch.over.into_iter().map(|(id, _)| id));
-        leader
-            .ends
-            .progress
-            .extend(batch.progress.into_iter().map(|(id, ..)| id));
-        leader.ends.steps.extend(batch.steps);
-        leader.ends.removals.extend(batch.removals);
+        let ends = &mut leader.ends;
+        ends.retry.failed(self.now, &mut self.rng);
+        ends.over.extend(batch.over.into_iter().map(|(id, _)| id));
+        let progress = batch.progress.into_iter().map(|(id, ..)| id);
+        ends.progress.extend(progress);
+        ends.steps.extend(batch.steps);
+        ends.removals.extend(batch.removals);
     }
 
     pub(super) fn on_progress_read(&mut self, key: &str, result: Result<StoreReply, StoreError>) {
@@ -234,3 +286,29 @@
         }
     }
 }
+
+/// Adds the records that cover a job's tasks that are done and not on record; whether all of them fit.
+fn draft_progress_of(draft: &mut Draft, id: &JobId, job: &Job) -> bool {
+    let is_news = |index: &u32| !job.written.contains(*index);
+    let part_of = |index: u32| index / k::DONE_PART;
+    let parts: BTreeSet<u32> = job.done.iter().filter(is_news).map(part_of).collect();
+    let fitting: BTreeSet<u32> = parts.iter().take(draft.space()).copied().collect();
+    let mut keys = Vec::new();
+    for part in &fitting {
+        let record = WorkRecord {
+            done: job.done.part_text(*part),
+        };
+        // An older write that is carried out late must not undo this one.
+        let key = records::work_key(id, job.spec.tasks, *part);
+        let version = job.progress.get(&key).copied().unwrap_or(0);
+        draft.add(|txn| txn.when(&key, version).put(&key, records::value(&record)));
+        keys.push(key);
+    }
+    let news = job.done.iter().filter(is_news);
+    let news = news.filter(|index| fitting.contains(&part_of(*index)));
+    draft
+        .batch
+        .progress
+        .push((id.clone(), news.collect(), keys));
+    fitting.len() == parts.len()
+}
--- a/src/engine/machines.rs
+++ b/src/engine/machines.rs
@@ -164,20 +164,41 @@
     fn see(&self, id: &MachineId, at: Ms) -> Option<Seen> {
         let machine = self.leader()?.machines.get(id)?;
         let kind = self.machine_type(&machine.machine_type)?;
-        let (mut used, mut settled) = (Resources::default(), Resources::default());
-        let mut fetching: Vec<(Arc<str>, f64, Ms)> = Vec::new();
-        let mut locked = false;
+        let load = self.load_of(machine, at);
+        let images = machine.images.iter();
+        Some(Seen {
+            at,
+            ready: machine.takes_tasks() && !load.locked,
+            slot: Slot {
+                id: machine.id.clone(),
+                machine_type: machine.machine_type.clone(),
+                zone: machine.zone.clone(),
+                spot: machine.spot,
+                size: kind.size,
+                room: kind.size - load.used,
+                free_tasks: k::MACHINE_TASKS.saturating_sub(machine.tasks.len() as u32),
+                settled: load.settled,
+                images: images.map(|(name, _)| name.clone()).collect(),
+                fetching: left_to_fetch(load.fetches, kind.fetch_gb_per_s, at),
+                boot_gb: kind.boot_gb(),
+            },
+        })
+    }
+
+    /// What the tasks on a machine come to.
+    fn load_of(&self, machine: &Machine, at: Ms) -> Load {
+        let mut load = Load::default();
         for TaskId { job, index } in &machine.tasks {
             let Some(job) = self.jobs.get(job) else {
                 continue;
             };
-            used += job.spec.need;
+            load.used += job.spec.need;
             if job.spec.kind == Kind::Service {
-                settled += job.spec.need;
+                load.settled += job.spec.need;
             }
             let placement = job.live.get(index);
             let stage = placement.map(|p| p.stage);
-            locked |= stage.is_some_and(|stage| !matches!(stage, Stage::Up(_)));
+            load.locked |= stage.is_some_and(|stage| !matches!(stage, Stage::Up(_)));
             let image = &job.spec.image;
             let ready = machine.has_image(image)
                 || matches!(stage, Some(Stage::Up(s)) if s != TaskState::Fetching);
@@ -187,36 +208,16 @@
             let begun = placement
                 .filter(|p| matches!(p.stage, Stage::Up(_)))
                 .map_or(at, |p| p.since);
-            match fetching.iter_mut().find(|(name, ..)| name == image) {
-                Some((_, _, first)) => *first = begun.min(*first),
-                None => fetching.push((image.clone(), job.spec.image_gb, begun)),
+            match load.fetches.iter_mut().find(|fetch| fetch.image == *image) {
+                Some(fetch) => fetch.begun = begun.min(fetch.begun),
+                None => load.fetches.push(Fetch {
+                    image: image.clone(),
+                    gb: job.spec.image_gb,
+                    begun,
+                }),
             }
         }
-        // What is left to fetch, if all share the machine's rate.
-        let share = kind.fetch_gb_per_s / fetching.len().max(1) as f64;
-        let left = |(image, gb, begun): (Arc<str>, f64, Ms)| {
-            let done = at.saturating_sub(begun) as f64 / 1000.0 * share;
-            (image, (gb - done).max(0.0))
-        };
-        let fetching = fetching.into_iter().map(left).collect();
-        let images = machine.images.iter();
-        Some(Seen {
-            at,
-            ready: machine.takes_tasks() && !locked,
-            slot: Slot {
-                id: machine.id.clone(),
-                machine_type: machine.machine_type.clone(),
-                zone: machine.zone.clone(),
-                spot: machine.spot,
-                size: kind.size,
-                room: kind.size - used,
-                free_tasks: k::MACHINE_TASKS.saturating_sub(machine.tasks.len() as u32),
-                settled,
-                images: images.map(|(name, _)| name.clone()).collect(),
-                fetching,
-                boot_gb: kind.boot_gb(),
-            },
-        })
+        load
     }
 
     /// Whether what is kept is what would be worked out now.
@@ -232,3 +233,33 @@
         })
     }
 }
+
+/// What the tasks on a machine take of it.
+#[derive(Debug, Default)]
+struct Load {
+    used: Resources,
+    /// What services take, which don't end by themselves.
+    settled: Resources,
+    /// A start is unreported.
+    locked: bool,
+    fetches: Vec<Fetch>,
+}
+
+/// An image that tasks wait for.
+#[derive(Debug)]
+struct Fetch {
+    image: Arc<str>,
+    gb: f64,
+    /// When the first of the tasks came up, ms.
+    begun: Ms,
+}
+
+/// GB of each image that are left to fetch, if all share the machine's rate.
+fn left_to_fetch(fetches: Vec<Fetch>, gb_per_s: f64, at: Ms) -> Vec<(Arc<str>, f64)> {
+    let share = gb_per_s / fetches.len().max(1) as f64;
+    let left = |fetch: Fetch| {
+        let done = at.saturating_sub(fetch.begun) as f64 / 1000.0 * share;
+        (fetch.image, (fetch.gb - done).max(0.0))
+    };
+    fetches.into_iter().map(left).collect()
+}
--- a/src/engine/recovery.rs
+++ b/src/engine/recovery.rs
@@ -8,6 +8,7 @@
 use super::{Engine, Op, Retry, Role};
 use crate::model::{JobId, Machine, MachineId, Placement, SeqNo, Stage, TaskId};
 use crate::store::{StoreCall, StoreError, StoreReply};
+use crate::wire::store::Item;
 
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Part {
@@ -60,6 +61,7 @@
         self.store(Op::Load, call);
     }
 
+    /// A page of records was read, or could not be.
     pub(super) fn on_loaded(&mut self, result: Result<StoreReply, StoreError>) {
         let now = self.now;
         let Role::Leader(leader) = &mut self.role else {
@@ -80,30 +82,47 @@
         };
         loading.retry.worked(now);
         let last = page.items.last().map(|item| item.key.clone());
+        let next = last.filter(|_| page.more);
         for item in page.items {
-            let read = match part {
-                Part::Rounds => {
-                    records::read(item.value).and_then(|r| self.recover_round(&item.key, r))
-                }
-                _ => records::read(item.value)
-                    .and_then(|r| self.recover_work(&item.key, r, item.version)),
-            };
-            if read.is_none() {
-                tracing::error!(key = item.key, "record can't be read, left alone");
-            }
+            self.recover_record(part, item);
         }
-        if let Some(loading) = self.leader_mut().and_then(|l| l.loading.as_mut()) {
-            if page.more && last.is_some() {
-                loading.after = last;
-                return;
-            }
-            loading.after = None;
-            if part != Part::Rounds {
-                loading.part = Part::Rounds;
-                return;
+        if !self.has_more_to_load(part, next) {
+            self.finish_loading();
+        }
+    }
+
+    /// Takes in one record of that part.
+    fn recover_record(&mut self, part: Part, item: Item) {
+        let read = match part {
+            Part::Rounds => {
+                records::read(item.value).and_then(|record| self.recover_round(&item.key, record))
             }
+            Part::Live | Part::Work => records::read(item.value)
+                .and_then(|record| self.recover_work(&item.key, record, item.version)),
+        };
+        if read.is_none() {
+            tracing::error!(key = item.key, "record can't be read, left alone");
         }
+    }
+
+    /// Goes on to the next page, which follows that key, or to the next part; whether there is one.
+    fn has_more_to_load(&mut self, part: Part, next: Option<String>) -> bool {
+        let Some(loading) = self.leader_mut().and_then(|l| l.loading.as_mut()) else {
+            return false;
+        };
+        let goes_on = next.is_some();
+        loading.after = next;
+        if !goes_on && part != Part::Rounds {
+            loading.part = Part::Rounds;
+            return true;
+        }
+        goes_on
+    }
+
+    /// All is read: machines get the tasks that are placed on them.
+    fn finish_loading(&mut self) {
         if let Role::Leader(leader) = &mut self.role {
+            leader.loading = None;
             for (id, job) in &self.jobs {
                 for (index, placement) in &job.live {
                     if let Some(machine) = leader.machines.get_mut(&placement.machine) {
@@ -117,9 +136,6 @@
         }
         let placed: usize = self.jobs.values().map(|j| j.live.len()).sum();
         tracing::info!(jobs = self.jobs.len(), placed, "records read");
-        if let Some(leader) = self.leader_mut() {
-            leader.loading = None;
-        }
         self.pipelines.mark_changed();
         let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
         for id in ids {
