--- a/src/engine/provisioning/renting.rs
+++ b/src/engine/provisioning/renting.rs
@@ -50,11 +50,11 @@
             zones: BTreeMap::new(),
         });
         let waiting: Vec<fleet::Waiting<'_>> = waiting.chain(copies).collect();
-        let smallest_need = waiting
-            .iter()
-            .map(|one| one.job.spec.need)
-            .reduce(Resources::least_of)
-            .unwrap_or_default();
+        let needs = waiting.iter().map(|one| one.job.spec.need);
+        let Some(smallest_need) = needs.reduce(Resources::least_of) else {
+            // Nobody needs a machine, and none is kept for anybody.
+            return Wanted::default();
+        };
         let slots = leader
             .machines
             .with_room(smallest_need, |m| self.is_expected(m));
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -1,228 +1,28 @@
-//! The real HTTP layers: a node on ephemeral loopback ports, with a state service and a cloud
-//! written here from the protocol.
+//! The real HTTP layers, with a node on ephemeral loopback ports.
 
 // Helpers of a test may panic: that is how it fails.
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
-use axum::Router;
-use axum::body::Bytes;
-use axum::extract::{Path, Query, State};
-use axum::http::StatusCode;
-use axum::response::IntoResponse;
-use axum::routing::{get, post};
+mod support;
+
 use hyper::Method;
 use rmpv::Value;
-use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
+use support::{StateService, ready_node_where};
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
 use umbervale::constants::USER_CALLS;
 use umbervale::http::{Answer, HttpClient};
 use umbervale::model::Token;
-use umbervale::node::Node;
 use umbervale::peer::{Message, read_frame, write_frame};
-use umbervale::settings::Settings;
 use umbervale::wire::worker::{Elsewhere, Orders, Report};
-use umbervale::wire::{decode, encode, store as ws};
-
-#[derive(Default)]
-struct Kv {
-    keys: BTreeMap<String, (Value, u64)>,
-    revision: u64,
-    log: Vec<(u64, ws::Event)>,
-    leases: u64,
-}
-
-#[derive(Default)]
-struct Standin {
-    kv: Mutex<Kv>,
-    changed: Notify,
-    down: AtomicBool,
-    /// Reads of single keys are not answered.
-    stalled: AtomicBool,
-    /// The leader writes a job's end just before its live record is read.
-    ends: AtomicBool,
-}
-
-type Shared = State<Arc<Standin>>;
+use umbervale::wire::{decode, encode};
 
 /// That a node's machine allows; half of them are for `front`.
 const SOCKETS: usize = 300;
 
-fn map(fields: Vec<(&str, Value)>) -> Vec<u8> {
-    let fields = fields
-        .into_iter()
-        .map(|(k, v)| (Value::from(k), v))
-        .collect();
-    rmp_serde::to_vec(&Value::Map(fields)).unwrap()
-}
-
-async fn one(State(s): Shared, Path(key): Path<String>) -> (StatusCode, Vec<u8>) {
-    if s.stalled.load(Ordering::Relaxed) {
-        return std::future::pending().await;
-    }
-    if s.down.load(Ordering::Relaxed) {
-        return (StatusCode::SERVICE_UNAVAILABLE, Vec::new());
-    }
-    let mut kv = s.kv.lock().unwrap();
-    if s.ends.load(Ordering::Relaxed)
-        && let Some(id) = key.strip_prefix("live/job/")
-        && kv.keys.remove(&key).is_some()
-    {
-        kv.revision += 1;
-        let last = map(vec![("state", "done".into()), ("tasks", 3.into())]);
-        let last = (rmp_serde::from_slice(&last).unwrap(), kv.revision);
-        kv.keys.insert(format!("final/{id}"), last);
-    }
-    match kv.keys.get(&key) {
-        Some((value, version)) => {
-            let item = ws::Item {
-                key,
-                value: value.clone(),
-                version: *version,
-            };
-            (StatusCode::OK, encode(&item))
-        }
-        None => (
-            StatusCode::NOT_FOUND,
-            map(vec![("ledger_rev", kv.revision.into())]),
-        ),
-    }
-}
-
-async fn list(State(s): Shared, Query(q): Query<HashMap<String, String>>) -> Vec<u8> {
-    let kv = s.kv.lock().unwrap();
-    let items = kv
-        .keys
-        .iter()
-        .filter(|(k, _)| k.starts_with(&q["under"]))
-        .map(|(k, (value, version))| ws::Item {
-            key: k.clone(),
-            value: value.clone(),
-            version: *version,
-        })
-        .collect();
-    encode(&ws::Listing {
-        items,
-        more: false,
-        revision: kv.revision,
-    })
-}
-
-async fn commit(State(s): Shared, body: Bytes) -> (StatusCode, Vec<u8>) {
-    if s.down.load(Ordering::Relaxed) {
-        return (StatusCode::SERVICE_UNAVAILABLE, Vec::new());
-    }
-    let txn: ws::Txn = decode(&body).unwrap();
-    let mut kv = s.kv.lock().unwrap();
-    let version = |kv: &Kv, key: &str| kv.keys.get(key).map_or(0, |(_, v)| *v);
-    let failed: Vec<String> = txn
-        .conditions
-        .iter()
-        .filter(|c| version(&kv, &c.key) != c.version)
-        .map(|c| c.key.clone())
-        .collect();
-    if !failed.is_empty() {
-        return (StatusCode::CONFLICT, encode(&ws::Conflict { failed }));
-    }
-    kv.revision += 1;
-    let revision = kv.revision;
-    for write in txn.writes {
-        let event = match write {
-            ws::Write::Put { put, value, .. } => {
-                kv.keys.insert(put.clone(), (value.clone(), revision));
-                ws::Event::Put {
-                    put,
-                    value,
-                    version: revision,
-                }
-            }
-            ws::Write::Delete { delete } => {
-                kv.keys.remove(&delete);
-                ws::Event::Delete {
-                    delete,
-                    version: revision,
-                }
-            }
-        };
-        kv.log.push((revision, event));
-    }
-    s.changed.notify_waiters();
-    (StatusCode::OK, encode(&ws::Revision { revision }))
-}
-
-async fn hold(State(s): Shared) -> Vec<u8> {
-    let mut kv = s.kv.lock().unwrap();
-    kv.leases += 1;
-    encode(&ws::Lease { lease: kv.leases })
-}
-
-async fn touch() -> StatusCode {
-    StatusCode::OK
-}
-
-async fn changes(State(s): Shared, Query(q): Query<HashMap<String, String>>) -> Vec<u8> {
-    let after: u64 = q["after"].parse().unwrap();
-    let wait = Duration::from_millis(q["block_ms"].parse().unwrap());
-    let changed = s.changed.notified();
-    let find = || {
-        let kv = s.kv.lock().unwrap();
-        let events: Vec<ws::Event> = kv
-            .log
-            .iter()
-            .filter(|(at, _)| *at > after)
-            .map(|(_, e)| e.clone())
-            .collect();
-        ws::Changes {
-            revision: kv.revision,
-            events,
-        }
-    };
-    let now = find();
-    if now.events.is_empty() {
-        let _ = tokio::time::timeout(wait, changed).await;
-    }
-    encode(&find())
-}
-
-async fn flavors() -> impl IntoResponse {
-    let zones = Value::Array(vec!["east".into(), "west".into()]);
-    let fields = vec![
-        ("name", "g8".into()),
-        ("vcpus", 16.into()),
-        ("gpus", Value::from(4.0)),
-        ("memory_gb", 64.into()),
-        ("cache_gb", 100.into()),
-        ("fetch_gb_per_s", Value::from(0.4)),
-        ("price", 4.into()),
-        ("spot_price", 1.into()),
-        ("ready_s", 20.into()),
-        ("yards", zones),
-    ];
-    let fields = fields
-        .into_iter()
-        .map(|(k, v): (&str, Value)| (k.into(), v))
-        .collect();
-    map(vec![("models", Value::Array(vec![Value::Map(fields)]))])
-}
-
-async fn no_machines() -> Vec<u8> {
-    map(vec![
-        ("hosts", Value::Array(Vec::new())),
-        ("truncated", false.into()),
-    ])
-}
-
-async fn serve(router: Router) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let addr = listener.local_addr().unwrap();
-    tokio::spawn(async move { axum::serve(listener, router).await });
-    addr
-}
-
 struct Client {
     http: HttpClient,
     front: SocketAddr,
@@ -249,80 +49,19 @@
     }
 }
 
-async fn node() -> (Client, Arc<Standin>) {
+async fn node() -> (Client, Arc<StateService>) {
     node_where(|settings| settings).await
 }
 
 /// With other settings.
-async fn node_where(change: impl Fn(String) -> String) -> (Client, Arc<Standin>) {
-    let standin = Arc::new(Standin::default());
-    let state = serve(
-        Router::new()
-            .route("/store", get(list))
-            .route("/store/{*key}", get(one))
-            .route("/commit", post(commit))
-            .route("/holds", post(hold))
-            .route("/holds/{id}/touch", post(touch))
-            .route("/changes", get(changes))
-            .with_state(standin.clone()),
-    )
-    .await;
-    let cloud = serve(
-        Router::new()
-            .route("/flavors", get(flavors))
-            .route("/machines", get(no_machines)),
-    )
-    .await;
-    let text = format!(
-        r#"
-node_name = "n0"
-site = "east"
-front = "127.0.0.1:0"
-back = "127.0.0.1:0"
-[services]
-cloud = "{cloud}"
-state = "{state}"
-[cluster]
-zones = ["east", "west"]
-[[cluster.teams]]
-name = "vision"
-gpus_max = 8.0
-[cluster.workers]
-report_s = 3.0
-lease_s = 17.0
-gang_wait_s = 30.0
-gang_peer_s = 6.0
-cancel_s = 42.0
-[cluster.state]
-rps = 100000.0
-write_rps = 100000.0
-value_kb = 8.0
-txn_ops = 24
-[cluster.cloud]
-rps = 100.0
-list_lag_s = 1.0
-[cluster.machine_limits]
-max_connections = {SOCKETS}
-"#
-    );
-    let node = Node::bind(Settings::parse(&change(text), "test").unwrap())
-        .await
-        .unwrap();
+async fn node_where(change: impl Fn(String) -> String) -> (Client, Arc<StateService>) {
+    let limits = format!("[cluster.machine_limits]\nmax_connections = {SOCKETS}\n");
+    let node = ready_node_where(|text| change(text + &limits)).await;
     let client = Client {
-        http: HttpClient::default(),
-        front: node.front().unwrap(),
-    };
-    tokio::spawn(node.serve());
-    // Ready as soon as the records and the machine types are read.
-    let ready = async {
-        while client.status(Method::GET, "/ready", None).await != 200 {
-            tokio::task::yield_now().await;
-        }
+        http: node.http,
+        front: node.front,
     };
-    tokio::time::timeout(Duration::from_secs(20), ready)
-        .await
-        .expect("ready in time");
-    (client, standin)
+    (client, node.service)
 }
 
 fn submission(change: impl Fn(&mut Vec<(Value, Value)>)) -> Vec<u8> {
@@ -367,7 +106,7 @@
 
 #[tokio::test]
 async fn users_are_answered_as_the_protocol_says() {
-    let (client, standin) = node().await;
+    let (client, service) = node().await;
     let post = |body| client.status(Method::POST, "/submissions", Some(body));
     let good = || submission(|_| {});
     assert_eq!(post(b"not msgpack".to_vec()).await, 400);
@@ -409,10 +148,10 @@
         405
     );
 
-    standin.down.store(true, Ordering::Relaxed);
+    service.down.store(true, Ordering::Relaxed);
     assert_eq!(client.status(Method::GET, path, None).await, 503);
     assert_eq!(post(submission(set("uid", "run-2"))).await, 503);
-    standin.down.store(false, Ordering::Relaxed);
+    service.down.store(false, Ordering::Relaxed);
 
     assert_eq!(
         client
@@ -422,7 +161,7 @@
     );
     assert_eq!(client.job_state(path).await, "aborted");
     assert_eq!(post(good()).await, 200);
-    standin.down.store(true, Ordering::Relaxed);
+    service.down.store(true, Ordering::Relaxed);
     assert_eq!(
         client.job_state(path).await,
         "aborted",
@@ -448,7 +187,7 @@
 
 #[tokio::test]
 async fn workers_get_the_token_or_are_refused() {
-    let (client, _standin) = node().await;
+    let (client, _service) = node().await;
     assert_eq!(
         client
             .status(Method::POST, "/v1/report", Some(b"\x81".to_vec()))
@@ -488,14 +227,8 @@
 /// job forgotten.
 #[tokio::test]
 async fn a_job_whose_record_cannot_be_read_stays_known() {
-    let (client, standin) = node().await;
-    let put = |key: &str| {
-        let mut kv = standin.kv.lock().unwrap();
-        kv.revision += 1;
-        let version = kv.revision;
-        kv.keys
-            .insert(key.into(), (Value::from("not a record"), version));
-    };
+    let (client, service) = node().await;
+    let put = |key: &str| service.put_unheard(key, Value::from("not a record"));
     put("live/job/run-000412");
     let path = "/submissions/run-000412";
     assert_eq!(client.job_state(path).await, "queued");
@@ -506,14 +239,7 @@
     let cancel = format!("{path}/cancel");
     assert_eq!(client.status(Method::POST, &cancel, None).await, 200);
     assert_eq!(client.job_state(path).await, "aborted");
-    assert!(
-        !standin
-            .kv
-            .lock()
-            .unwrap()
-            .keys
-            .contains_key("live/job/run-000412")
-    );
+    assert_eq!(service.value("live/job/run-000412"), None);
 }
 
 /// After an outage everybody asks at once, several times as many as are served at a time. Users ask
@@ -521,14 +247,14 @@
 /// however many others ask.
 #[tokio::test]
 async fn after_an_outage_every_job_is_answered_within_a_few_polls() {
-    let (client, standin) = node().await;
+    let (client, service) = node().await;
     let ids: Vec<String> = (0..200).map(|n| format!("run-{n:06}")).collect();
     for id in &ids {
         let body = submission(set("uid", id.as_str()));
         let status = client.status(Method::POST, "/submissions", Some(body));
         assert_eq!(status.await, 201);
     }
-    standin.down.store(true, Ordering::Relaxed);
+    service.down.store(true, Ordering::Relaxed);
     let poll_all = async |waiting: &[String]| {
         let mut polls = tokio::task::JoinSet::new();
         for id in waiting.iter().cloned() {
@@ -544,7 +270,7 @@
     for (id, status) in poll_all(&ids).await {
         assert_eq!(status, 503, "{id}");
     }
-    standin.down.store(false, Ordering::Relaxed);
+    service.down.store(false, Ordering::Relaxed);
     let mut waiting = ids;
     for _ in 0..15 {
         let answers = poll_all(&waiting).await;
@@ -571,7 +297,7 @@
 /// once had no socket left for new machines, users and probes.
 #[tokio::test]
 async fn a_node_whose_callers_outnumber_its_sockets_answers_all() {
-    let (client, _standin) = node().await;
+    let (client, _service) = node().await;
     let mut open = Vec::new();
     let mut told_to_leave = 0;
     for n in 0..2 * SOCKETS {
@@ -595,7 +321,7 @@
 /// come back, and workers' reports are answered meanwhile.
 #[tokio::test]
 async fn a_flood_of_questions_is_answered_at_once_and_holds_up_no_report() {
-    let (client, standin) = node().await;
+    let (client, service) = node().await;
     let client = Arc::new(client);
     let mut report = report_of("host-000001");
     let lead = async {
@@ -609,7 +335,7 @@
     };
     let leads = tokio::time::timeout(Duration::from_secs(20), lead).await;
     leads.expect("leads in time");
-    standin.stalled.store(true, Ordering::Relaxed);
+    service.stalled.store(true, Ordering::Relaxed);
     let mut questions = tokio::task::JoinSet::new();
     for n in 0..2 * USER_CALLS {
         let client = client.clone();
@@ -642,7 +368,7 @@
     let addr = peer.local_addr().unwrap();
     let peers = format!("[[peers]]\nnode_name = \"n1\"\nsite = \"west\"\naddr = \"{addr}\"");
     let with_peers = |text: String| text.replace("[services]", &format!("{peers}\n[services]"));
-    let (client, _standin) = node_where(with_peers).await;
+    let (client, _service) = node_where(with_peers).await;
     let body = submission(|_| {});
     assert_eq!(
         client
@@ -680,7 +406,7 @@
 
 #[tokio::test]
 async fn what_a_submission_may_await_is_checked_at_once() {
-    let (client, standin) = node().await;
+    let (client, service) = node().await;
     let post = |body| client.status(Method::POST, "/submissions", Some(body));
     assert_eq!(post(submission(|_| {})).await, 201);
     let many: Vec<String> = (0..65).map(|n| format!("run-{n}")).collect();
@@ -707,14 +433,14 @@
         200,
         "it stays the accepted job"
     );
-    standin.down.store(true, Ordering::Relaxed);
+    service.down.store(true, Ordering::Relaxed);
     let body = awaiting("run-4", never);
     assert_eq!(post(body).await, 503);
 }
 
 #[tokio::test]
 async fn cancelled_jobs_take_those_that_need_them_with_them() {
-    let (client, _standin) = node().await;
+    let (client, _service) = node().await;
     let post = |body| client.status(Method::POST, "/submissions", Some(body));
     assert_eq!(post(submission(|_| {})).await, 201);
     assert_eq!(post(awaiting("run-1", names(&["run-000412"]))).await, 201);
@@ -737,10 +463,10 @@
 #[tokio::test]
 async fn a_job_that_ends_while_it_is_asked_about_is_done() {
     for question in ["poll", "repeat", "cancel"] {
-        let (client, standin) = node().await;
+        let (client, service) = node().await;
         let post = |body| client.status(Method::POST, "/submissions", Some(body));
         assert_eq!(post(submission(|_| {})).await, 201);
-        standin.ends.store(true, Ordering::Relaxed);
+        service.ends.store(true, Ordering::Relaxed);
         let path = "/submissions/run-000412";
         let status = match question {
             "poll" => client.status(Method::GET, path, None).await,
@@ -759,7 +485,7 @@
 #[tokio::test]
 async fn what_does_not_fit_into_a_value_is_refused() {
     let small = |text: String| text.replace("value_kb = 8.0", "value_kb = 2.0");
-    let (client, _standin) = node_where(small).await;
+    let (client, _service) = node_where(small).await;
     let post = |body| client.status(Method::POST, "/submissions", Some(body));
     let mut all = Vec::new();
     for n in 0..64 {
--- a/tests/pipelines_http.rs
+++ b/tests/pipelines_http.rs
@@ -1,265 +1,21 @@
-//! What users are told about jobs that wait for others, over HTTP: one node on ephemeral loopback
-//! ports, with a state service and a cloud written here from the protocol.
+//! What users are told about jobs that wait for others, over HTTP.
 
 // Helpers of a test may panic: that is how it fails.
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
-use axum::Router;
-use axum::body::Bytes;
-use axum::extract::{Path, Query, State};
-use axum::http::StatusCode;
-use axum::routing::{get, post};
+mod support;
+
 use hyper::Method;
 use rmpv::Value;
-use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::process::Command;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use support::{PATIENCE, StateService, map, ready_node_where, settings};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::net::TcpStream;
 use umbervale::http::{Answer, HttpClient};
-use umbervale::node::Node;
-use umbervale::settings::Settings;
-use umbervale::wire::{decode, encode, store as ws};
-
-/// Long enough for a busy machine; nothing waits for it when all is well.
-const PATIENCE: Duration = Duration::from_secs(20);
-
-#[derive(Default)]
-struct Records {
-    values: BTreeMap<String, (Value, u64)>,
-    revision: u64,
-    events: Vec<(u64, ws::Event)>,
-    leases: u64,
-}
-
-/// The state service.
-#[derive(Default)]
-struct StateService {
-    records: Mutex<Records>,
-    changed: Notify,
-    /// Reads of this job's records are refused.
-    refused_job: Mutex<Option<&'static str>>,
-    /// Changes are not told of, as to a node whose watch lags.
-    silent: AtomicBool,
-}
-
-type Shared = State<Arc<StateService>>;
-
-impl StateService {
-    /// Puts a record there that another node wrote, of which no change tells.
-    fn put_unheard(&self, key: &str, value: Value) {
-        let mut records = self.records.lock().unwrap();
-        records.revision += 1;
-        let version = records.revision;
-        records.values.insert(key.into(), (value, version));
-    }
-
-    /// The same, and the changes tell of it.
-    fn put_heard(&self, key: &str, value: Value) {
-        self.put_unheard(key, value.clone());
-        let mut records = self.records.lock().unwrap();
-        let version = records.revision;
-        let put = key.to_owned();
-        let event = ws::Event::Put {
-            put,
-            value,
-            version,
-        };
-        records.events.push((version, event));
-        self.changed.notify_waiters();
-    }
-
-    fn value(&self, key: &str) -> Option<Value> {
-        let records = self.records.lock().unwrap();
-        records.values.get(key).map(|(value, _)| value.clone())
-    }
-
-    fn refuses(&self, key: &str) -> bool {
-        let refused = *self.refused_job.lock().unwrap();
-        refused.is_some_and(|job| key.rsplit('/').next() == Some(job))
-    }
-}
-
-fn map(fields: Vec<(&str, Value)>) -> Value {
-    let fields = fields.into_iter().map(|(key, value)| (key.into(), value));
-    Value::Map(fields.collect())
-}
-
-async fn read_one(State(service): Shared, Path(key): Path<String>) -> (StatusCode, Vec<u8>) {
-    if service.refuses(&key) {
-        return (StatusCode::SERVICE_UNAVAILABLE, Vec::new());
-    }
-    let records = service.records.lock().unwrap();
-    let Some((value, version)) = records.values.get(&key) else {
-        let revision = map(vec![("ledger_rev", records.revision.into())]);
-        return (StatusCode::NOT_FOUND, encode(&revision));
-    };
-    let (value, version) = (value.clone(), *version);
-    let item = ws::Item {
-        key,
-        value,
-        version,
-    };
-    (StatusCode::OK, encode(&item))
-}
-
-async fn list(State(service): Shared, Query(query): Query<HashMap<String, String>>) -> Vec<u8> {
-    let records = service.records.lock().unwrap();
-    let under = |(key, _): &(&String, &(Value, u64))| key.starts_with(&query["under"]);
-    let items = records.values.iter().filter(under);
-    let items = items.map(|(key, (value, version))| ws::Item {
-        key: key.clone(),
-        value: value.clone(),
-        version: *version,
-    });
-    encode(&ws::Listing {
-        items: items.collect(),
-        more: false,
-        revision: records.revision,
-    })
-}
-
-async fn commit(State(service): Shared, body: Bytes) -> (StatusCode, Vec<u8>) {
-    let txn: ws::Txn = decode(&body).unwrap();
-    let mut records = service.records.lock().unwrap();
-    let version = |key: &str| records.values.get(key).map_or(0, |(_, version)| *version);
-    let failed = txn.conditions.iter();
-    let failed = failed.filter(|condition| version(&condition.key) != condition.version);
-    let failed: Vec<String> = failed.map(|condition| condition.key.clone()).collect();
-    if !failed.is_empty() {
-        return (StatusCode::CONFLICT, encode(&ws::Conflict { failed }));
-    }
-    records.revision += 1;
-    let version = records.revision;
-    for write in txn.writes {
-        let event = match write {
-            ws::Write::Put { put, value, .. } => {
-                let stored = (value.clone(), version);
-                records.values.insert(put.clone(), stored);
-                ws::Event::Put {
-                    put,
-                    value,
-                    version,
-                }
-            }
-            ws::Write::Delete { delete } => {
-                records.values.remove(&delete);
-                ws::Event::Delete { delete, version }
-            }
-        };
-        records.events.push((version, event));
-    }
-    service.changed.notify_waiters();
-    let revision = ws::Revision { revision: version };
-    (StatusCode::OK, encode(&revision))
-}
-
-async fn new_lease(State(service): Shared) -> Vec<u8> {
-    let mut records = service.records.lock().unwrap();
-    records.leases += 1;
-    let lease = records.leases;
-    encode(&ws::Lease { lease })
-}
-
-async fn renew_lease() -> StatusCode {
-    StatusCode::OK
-}
-
-async fn changes(State(service): Shared, Query(query): Query<HashMap<String, String>>) -> Vec<u8> {
-    let after: u64 = query["after"].parse().unwrap();
-    let wait = Duration::from_millis(query["block_ms"].parse().unwrap());
-    let changed = service.changed.notified();
-    let find = || {
-        if service.silent.load(Ordering::Relaxed) {
-            return ws::Changes {
-                revision: after,
-                events: Vec::new(),
-            };
-        }
-        let records = service.records.lock().unwrap();
-        let events = records.events.iter().filter(|(at, _)| *at > after);
-        ws::Changes {
-            revision: records.revision,
-            events: events.map(|(_, event)| event.clone()).collect(),
-        }
-    };
-    if find().events.is_empty() {
-        let _ = tokio::time::timeout(wait, changed).await;
-    }
-    encode(&find())
-}
-
-async fn machine_types() -> Vec<u8> {
-    let zones = Value::Array(vec!["east".into(), "west".into()]);
-    let machine_type = map(vec![
-        ("name", "g8".into()),
-        ("vcpus", 16.into()),
-        ("gpus", 4.into()),
-        ("memory_gb", 64.into()),
-        ("cache_gb", 100.into()),
-        ("fetch_gb_per_s", 0.4.into()),
-        ("price", 4.into()),
-        ("spot_price", 1.into()),
-        ("ready_s", 20.into()),
-        ("yards", zones),
-    ]);
-    let types = Value::Array(vec![machine_type]);
-    encode(&map(vec![("models", types)]))
-}
-
-async fn no_machines() -> Vec<u8> {
-    let none = Value::Array(Vec::new());
-    encode(&map(vec![("hosts", none), ("truncated", false.into())]))
-}
-
-async fn serve(router: Router) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let addr = listener.local_addr().unwrap();
-    tokio::spawn(async move { axum::serve(listener, router).await });
-    addr
-}
-
-/// A node's settings; `next` holds the limits to come, as a table of its own.
-fn settings(cloud: SocketAddr, state: SocketAddr, next: &str) -> String {
-    format!(
-        r#"
-node_name = "n0"
-site = "east"
-front = "127.0.0.1:0"
-back = "127.0.0.1:0"
-[services]
-cloud = "{cloud}"
-state = "{state}"
-[cluster]
-zones = ["east", "west"]
-[[cluster.teams]]
-name = "vision"
-gpus_max = 8.0
-[[cluster.teams]]
-name = "speech"
-gpus_max = 8.0
-[cluster.workers]
-report_s = 3.0
-lease_s = 17.0
-gang_wait_s = 30.0
-gang_peer_s = 6.0
-cancel_s = 42.0
-[cluster.state]
-rps = 100000.0
-write_rps = 100000.0
-value_kb = 8.0
-txn_ops = 24
-{next}
-[cluster.cloud]
-rps = 100.0
-list_lag_s = 1.0
-"#
-    )
-}
+use umbervale::wire::encode;
 
 struct User {
     http: HttpClient,
@@ -304,34 +60,12 @@
 
 /// A node that is ready, and the state service that it uses.
 async fn ready_node() -> (User, Arc<StateService>) {
-    let service = Arc::new(StateService::default());
-    let state = Router::new()
-        .route("/store", get(list))
-        .route("/store/{*key}", get(read_one))
-        .route("/commit", post(commit))
-        .route("/holds", post(new_lease))
-        .route("/holds/{id}/touch", post(renew_lease))
-        .route("/changes", get(changes))
-        .with_state(service.clone());
-    let cloud = Router::new()
-        .route("/flavors", get(machine_types))
-        .route("/machines", get(no_machines));
-    let (cloud, state) = (serve(cloud).await, serve(state).await);
-    let settings = Settings::parse(&settings(cloud, state, ""), "test").unwrap();
-    let node = Node::bind(settings).await.unwrap();
+    let node = ready_node_where(|settings| settings).await;
     let user = User {
-        http: HttpClient::default(),
-        front: node.front().unwrap(),
-    };
-    tokio::spawn(node.serve());
-    let ready = async {
-        while user.send(Method::GET, "/ready", None).await.status != 200 {
-            tokio::task::yield_now().await;
-        }
+        http: node.http,
+        front: node.front,
     };
-    let ready = tokio::time::timeout(PATIENCE, ready).await;
-    ready.expect("ready in time");
-    (user, service)
+    (user, node.service)
 }
 
 /// A submission for the team that awaits `awaits`.
