--- /dev/null
+++ b/src/engine/tests/world/state_service.rs
@@ -0,0 +1,320 @@
+//! The simulated state service.
+
+use super::*;
+
+#[derive(Default)]
+pub(super) struct Store {
+    pub(super) keys: BTreeMap<String, (rmpv::Value, u64, Option<u64>)>,
+    pub(super) revision: u64,
+    pub(super) leases: BTreeMap<u64, (u64, Ms)>,
+    pub(super) log: Vec<(u64, ws::Event)>,
+    /// Keys under a lease.
+    pub(super) leased: BTreeSet<String>,
+    pub(super) watches: Vec<Watch>,
+    pub(super) commits: u64,
+}
+
+pub(super) struct Watch {
+    pub(super) node: usize,
+    pub(super) epoch: u64,
+    pub(super) op: u64,
+    pub(super) prefix: String,
+    pub(super) after: u64,
+    pub(super) until: Ms,
+}
+
+impl World {
+    pub(super) fn serve_store(&mut self, node: usize, epoch: u64, op: u64, call: &StoreCall) {
+        let refused = self.faults.store_down || self.faults.store_refuses.contains(&node);
+        let records = |prefix: &str| prefix == records::WORK || prefix == records::ROUNDS;
+        let unlisted = matches!(call, StoreCall::List { prefix, .. } if records(prefix));
+        let refused = refused || (unlisted && self.faults.no_records);
+        if let StoreCall::Commit(txn) = call {
+            let fenced = txn.conditions.iter().any(|c| c.key == records::LEAD);
+            assert!(fenced, "no condition on the leader's key: {txn:?}");
+        }
+        if let StoreCall::Commit(txn) = call
+            && !refused
+            && let Some(late) = self.lateness(txn)
+        {
+            self.store.commits += 1;
+            self.at(late, Ev::Late(txn.clone()));
+            let result = Err(StoreError::Unknown("no answer".into()));
+            let patience = k::STORE_TIMEOUT.as_millis() as Ms;
+            let command = Command::StoreDone { op, result };
+            return self.at(patience, Ev::Command(node, epoch, command));
+        }
+        let result = if refused {
+            Err(StoreError::Refused("503".into()))
+        } else {
+            self.store_call(call)
+        };
+        let command = Command::StoreDone { op, result };
+        let slow = self.faults.slow_answers.get(&node).copied().unwrap_or(0);
+        let delay = self.link() + slow;
+        self.at(delay, Ev::Command(node, epoch, command));
+        self.serve_watches();
+    }
+
+    /// By how much the transaction is late, if it gets no answer.
+    pub(super) fn lateness(&mut self, txn: &ws::Txn) -> Option<Ms> {
+        let begins = |key: &str| {
+            let written = txn.writes.iter().map(|write| match write {
+                ws::Write::Put { put, .. } => put,
+                ws::Write::Delete { delete } => delete,
+            });
+            written.into_iter().any(|k| k.starts_with(key))
+        };
+        if self.faults.late_write.is_some_and(begins) {
+            self.faults.late_write = None;
+            return Some(12_000);
+        }
+        let number = self.store.commits + 1;
+        let late = 2_000 + number * 1_700 % 10_000;
+        number
+            .is_multiple_of(self.faults.late_every)
+            .then_some(late)
+    }
+
+    pub(super) fn store_call(&mut self, call: &StoreCall) -> Result<StoreReply, StoreError> {
+        match call {
+            StoreCall::Get { key } => Ok(StoreReply::Got(self.store.keys.get(key).map(
+                |(value, version, _)| ws::Item {
+                    key: key.clone(),
+                    value: value.clone(),
+                    version: *version,
+                },
+            ))),
+            StoreCall::List { prefix, after } => {
+                let from = after.as_ref().unwrap_or(prefix);
+                let mut keys = self
+                    .store
+                    .keys
+                    .range(from.clone()..)
+                    .take_while(|(k, _)| k.starts_with(prefix))
+                    .filter(|(k, _)| after.as_ref() != Some(k));
+                let items = keys
+                    .by_ref()
+                    .take(self.page)
+                    .map(|(k, (value, version, _))| ws::Item {
+                        key: k.clone(),
+                        value: value.clone(),
+                        version: *version,
+                    })
+                    .collect();
+                let more = keys.next().is_some();
+                Ok(StoreReply::Listed(ws::Listing {
+                    items,
+                    more,
+                    revision: self.store.revision,
+                }))
+            }
+            StoreCall::Commit(txn) => {
+                self.store.commits += 1;
+                let result = self.commit(txn);
+                if self.store.commits.is_multiple_of(self.faults.lose_every) {
+                    return Err(StoreError::Unknown("lost".into()));
+                }
+                result
+            }
+            StoreCall::Hold { ttl_ms } => {
+                let lease = self.store.leases.len() as u64 + 1;
+                self.store
+                    .leases
+                    .insert(lease, (*ttl_ms, self.now + ttl_ms));
+                Ok(StoreReply::Held { lease })
+            }
+            StoreCall::Touch { lease } => {
+                let now = self.now;
+                match self
+                    .store
+                    .leases
+                    .get_mut(lease)
+                    .filter(|(_, until)| *until > now)
+                {
+                    Some((ttl, until)) => {
+                        *until = now + *ttl;
+                        Ok(StoreReply::Ok)
+                    }
+                    None => Err(StoreError::NoLease),
+                }
+            }
+            StoreCall::Drop { lease } => {
+                if let Some((_, until)) = self.store.leases.get_mut(lease) {
+                    *until = 0;
+                }
+                self.expire();
+                Ok(StoreReply::Ok)
+            }
+            StoreCall::Watch { .. } => unreachable!("kept apart"),
+        }
+    }
+
+    pub(super) fn commit(&mut self, txn: &ws::Txn) -> Result<StoreReply, StoreError> {
+        let ops = self.txn_ops;
+        assert!(
+            txn.writes.len() <= ops && txn.conditions.len() <= 4 * ops,
+            "over the limits: {txn:?}"
+        );
+        let now = self.now;
+        let size = crate::wire::encode(txn).len();
+        assert!(size < 64 * 1024, "a transaction of {size} bytes");
+        for write in &txn.writes {
+            if let ws::Write::Put { put, value, .. } = write {
+                let size = records::json_size(value);
+                assert!(size <= self.value_max, "{put} takes {size} bytes");
+            }
+            let over = |lease: &u64| {
+                let lease = self.store.leases.get(lease);
+                lease.is_none_or(|(_, until)| *until <= now)
+            };
+            if matches!(write, ws::Write::Put { lease: Some(lease), .. } if over(lease)) {
+                return Err(StoreError::Bad("no such lease".into()));
+            }
+        }
+        let version = |key: &str| self.store.keys.get(key).map_or(0, |(_, v, _)| *v);
+        let failed: Vec<String> = txn
+            .conditions
+            .iter()
+            .filter(|c| version(&c.key) != c.version)
+            .map(|c| c.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            return Err(StoreError::Conflict(failed));
+        }
+        self.check_writes(txn);
+        self.store.revision += 1;
+        let revision = self.store.revision;
+        for write in &txn.writes {
+            match write {
+                ws::Write::Put { put, value, lease } => {
+                    self.store
+                        .keys
+                        .insert(put.clone(), (value.clone(), revision, *lease));
+                    match lease {
+                        Some(_) => self.store.leased.insert(put.clone()),
+                        None => self.store.leased.remove(put),
+                    };
+                    let event = ws::Event::Put {
+                        put: put.clone(),
+                        value: value.clone(),
+                        version: revision,
+                    };
+                    self.store.log.push((revision, event));
+                }
+                ws::Write::Delete { delete } => self.delete(delete, revision),
+            }
+        }
+        self.serve_watches();
+        Ok(StoreReply::Committed { revision })
+    }
+
+    /// A job is called done after its tasks are, and nothing else after that; no round is written
+    /// with a job whose cancellation is durable.
+    pub(super) fn check_writes(&mut self, txn: &ws::Txn) {
+        for write in &txn.writes {
+            let ws::Write::Put { put, value, .. } = write else {
+                continue;
+            };
+            let round = put.starts_with(records::ROUNDS);
+            let round = round.then(|| records::read::<records::RoundRecord>(value.clone()));
+            for (id, ..) in round.flatten().into_iter().flat_map(|round| round.starts) {
+                if self.cancelled.contains_key(&id) {
+                    let now = self.now;
+                    self.broken
+                        .push(format!("{now}: a round with cancelled {id}"));
+                }
+            }
+            let Some(id) = put.strip_prefix("final/") else {
+                continue;
+            };
+            let state = records::read_final(value.clone()).map(|f| f.state);
+            let now = self.now;
+            if self.state(id).is_some_and(|old| Some(old) != state) {
+                self.broken
+                    .push(format!("{now}: went_back {id} to {state:?}"));
+            }
+            let of = format!("{id}/");
+            let ended = self.finished.iter().filter(|t| t.starts_with(&of)).count() as u64;
+            let job = &self.jobs[id];
+            let enough = match job.kind {
+                Kind::Gang => 1,
+                _ => job.tasks,
+            };
+            if state == Some(JobState::Done) && ended < enough {
+                self.broken.push(format!("{now}: not_done {id}"));
+            }
+        }
+    }
+
+    pub(super) fn delete(&mut self, key: &str, version: u64) {
+        self.store.leased.remove(key);
+        if self.store.keys.remove(key).is_some() {
+            let event = ws::Event::Delete {
+                delete: key.into(),
+                version,
+            };
+            self.store.log.push((version, event));
+        }
+    }
+
+    /// Ends leases, worker leases and outages' grace.
+    pub(super) fn expire(&mut self) {
+        let now = self.now;
+        if self.faults.store_down {
+            // An outage gives all leases their full time again.
+            for (ttl, until) in self
+                .store
+                .leases
+                .values_mut()
+                .filter(|(_, until)| *until > 0)
+            {
+                *until = now + *ttl;
+            }
+        }
+        let ended = |key: &&String| {
+            let lease = self.store.keys[*key].2.unwrap();
+            let lease = self.store.leases.get(&lease);
+            lease.is_none_or(|(_, until)| *until <= now)
+        };
+        let over: Vec<String> = self.store.leased.iter().filter(ended).cloned().collect();
+        for key in over {
+            self.store.revision += 1;
+            self.delete(&key, self.store.revision);
+        }
+        self.serve_watches();
+    }
+
+    pub(super) fn serve_watches(&mut self) {
+        let down = self.faults.store_down;
+        let (now, revision) = (self.now, self.store.revision);
+        let mut rest = Vec::new();
+        for w in std::mem::take(&mut self.store.watches) {
+            let log = &self.store.log;
+            let events: Vec<ws::Event> = log[log.partition_point(|(at, _)| *at <= w.after)..]
+                .iter()
+                .filter(|(_, event)| {
+                    let (ws::Event::Put { put: key, .. } | ws::Event::Delete { delete: key, .. }) =
+                        event;
+                    key.starts_with(&w.prefix)
+                })
+                .map(|(_, event)| event.clone())
+                .collect();
+            let waits = down || self.faults.store_refuses.contains(&w.node);
+            let result = if now >= w.until + k::WATCH_SLACK.as_millis() as Ms {
+                // The caller has given up.
+                Err(StoreError::Unknown("no answer".into()))
+            } else if waits || (events.is_empty() && now < w.until) {
+                rest.push(w);
+                continue;
+            } else {
+                Ok(StoreReply::Changed(ws::Changes { revision, events }))
+            };
+            let command = Command::StoreDone { op: w.op, result };
+            let slow = self.faults.slow_watch.get(&w.node).copied().unwrap_or(0);
+            let delay = self.link() + slow;
+            self.at(delay, Ev::Command(w.node, w.epoch, command));
+        }
+        self.store.watches = rest;
+    }
+}
