--- a/benches/load/main.rs
+++ b/benches/load/main.rs
@@ -31,10 +31,8 @@
 use umbervale::wire::user::{Job, Kind, Priority};
 use workers::{Fleet, SERVICE_PREFIX};
 
-/// Tasks of a job of the load.
-const JOB_TASKS: u64 = 8;
-/// How often a user asks about a job that is not over.
-const POLL_EVERY: Duration = Duration::from_secs(5);
+/// Tasks that fill a machine.
+const MACHINE_TASKS: u64 = 8;
 /// How long anything may take under callgrind.
 const PATIENCE: Duration = Duration::from_secs(300);
 
@@ -57,6 +55,12 @@
     /// large for a node under callgrind.
     #[arg(long, default_value_t = 3)]
     report_every: u64,
+    /// Tasks of a job.
+    #[arg(long, default_value_t = 8)]
+    job_tasks: u64,
+    /// Between two questions of a user about a job that is not over, s.
+    #[arg(long, default_value_t = 5)]
+    poll_every: u64,
     /// Submissions a second in the busy phase.
     #[arg(long, default_value_t = 2)]
     submissions: u64,
@@ -154,11 +158,13 @@
             self.end_phase("waiting jobs");
         }
         self.fleet.allow(self.options.machines);
-        let services = (self.options.machines - self.options.machines / 8) as u64;
+        let machines = (self.options.machines - self.options.machines / 8) as u64;
+        let services = machines * MACHINE_TASKS / self.options.job_tasks;
         for _ in 0..services {
             self.submit(SERVICE_PREFIX, Kind::Service).await;
         }
-        self.wait_for_tasks((services * JOB_TASKS) as usize).await;
+        self.wait_for_tasks((services * self.options.job_tasks) as usize)
+            .await;
         self.end_phase("fill");
         self.pass_time().await;
         self.end_phase("reports");
@@ -212,7 +218,7 @@
     async fn submit(&mut self, prefix: &str, kind: Kind) {
         self.jobs += 1;
         let id = format!("{prefix}{:05}", self.jobs);
-        let body = encode(&job(&id, kind));
+        let body = encode(&job(&id, kind, self.options.job_tasks));
         let front = self.front;
         let answer = self
             .http
@@ -227,9 +233,10 @@
             .unwrap();
         assert!(answer.status < 300, "submission: {}", answer.status);
         let http = self.http.clone();
+        let poll_every = Duration::from_secs(self.options.poll_every);
         tokio::spawn(async move {
             loop {
-                tokio::time::sleep(POLL_EVERY).await;
+                tokio::time::sleep(poll_every).await;
                 let path = format!("/submissions/{id}");
                 let answer = http
                     .call(hyper::Method::GET, front, &path, None, PATIENCE)
@@ -296,14 +303,14 @@
     }
 }
 
-fn job(id: &str, kind: Kind) -> Job {
+fn job(id: &str, kind: Kind, tasks: u64) -> Job {
     Job {
         id: id.into(),
         class: "load".into(),
         team: "load".into(),
         kind,
         priority: Priority::Normal,
-        tasks: JOB_TASKS,
+        tasks,
         cpus: 4.0,
         gpus: 1.0,
         memory_gb: 16.0,
