--- a/benches/load/main.rs
+++ b/benches/load/main.rs
@@ -101,7 +101,7 @@
     let state = serve(Arc::<StateService>::default().router()).await;
     let cloud = serve(cloud::router(fleet.clone())).await;
     for node in &nodes {
-        let text = process::settings(node, &nodes, state, cloud);
+        let text = process::settings(node, &nodes, state, cloud, options.report_every);
         std::fs::write(directory.join(format!("{}.toml", node.name)), text).unwrap();
     }
     let start = |name: &str, profiled: bool| {
--- a/benches/load/process.rs
+++ b/benches/load/process.rs
@@ -110,6 +110,7 @@
     nodes: &[NodeAddress],
     state: SocketAddr,
     cloud: SocketAddr,
+    report_s: u64,
 ) -> String {
     let peers: String = nodes
         .iter()
@@ -139,11 +140,11 @@
 name = "load"
 gpus_max = 1000000.0
 [cluster.workers]
-report_s = 3.0
-lease_s = 60.0
+report_s = {report_s}.0
+lease_s = {lease_s}.0
 gang_wait_s = 30.0
 gang_peer_s = 6.0
-cancel_s = 120.0
+cancel_s = {cancel_s}.0
 [cluster.state]
 rps = 100000.0
 write_rps = 100000.0
@@ -156,5 +157,7 @@
 max_connections = 10000
 "#,
         count = nodes.len(),
+        lease_s = 20 * report_s,
+        cancel_s = 40 * report_s,
     )
 }
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -317,6 +317,66 @@
     assert_eq!(status, 201);
 }
 
+/// Reports of one worker, on its connection while it may stay open, until two in a row were answered
+/// with orders; how long that took. The connection stays open with the client, if it may.
+async fn work(front: SocketAddr, machine: String) -> (Duration, HttpClient) {
+    let http = HttpClient::keeping(1);
+    let mut report = report_of(&machine);
+    let begun = std::time::Instant::now();
+    let mut answered = 0;
+    while answered < 2 {
+        report.seq += 1;
+        let body = Some(encode(&report));
+        let path = "/v1/report";
+        let answer = http.call(Method::POST, front, path, body, Duration::from_secs(4));
+        match answer.await {
+            Ok(answer) if answer.status == 200 => answered += 1,
+            // Not the leader yet, or no connection: workers try again.
+            _ => tokio::task::yield_now().await,
+        }
+    }
+    (begun.elapsed(), http)
+}
+
+/// `workers` report to the only node that is left, `sockets` of which are for them and for users: each
+/// keeps its lease, and users are answered meanwhile.
+async fn report_with_few_sockets(workers: usize, sockets: usize) {
+    let limit = format!("max_connections = {SOCKETS}");
+    let wider = format!("max_connections = {sockets}");
+    let (client, _service) = node_where(|text| text.replace(&limit, &wider)).await;
+    let mut fleet = tokio::task::JoinSet::new();
+    for n in 0..workers {
+        fleet.spawn(work(client.front, format!("host-{n:06}")));
+    }
+    let mut asked = 0;
+    let mut open = Vec::new();
+    let lease = Duration::from_secs(17);
+    while let Some(took) = fleet.join_next().await {
+        let (took, connection) = took.unwrap();
+        open.push(connection);
+        assert!(took < lease, "a worker without an answer for {took:?}");
+        if fleet.len() % 50 == 0 {
+            asked += 1;
+            let path = format!("/submissions/run-{asked}");
+            assert_eq!(client.status(Method::GET, &path, None).await, 404);
+        }
+    }
+    assert!(asked >= workers / 50);
+}
+
+/// Guards against workers that find no socket: several times as many as there are.
+#[tokio::test]
+async fn workers_that_outnumber_the_sockets_keep_their_leases() {
+    report_with_few_sockets(600, SOCKETS).await;
+}
+
+/// The same at full size, with one node of three left: `cargo test --release -- --ignored 4000_workers`.
+#[tokio::test]
+#[ignore = "needs 10,000 open files and some seconds of a core"]
+async fn leases_of_4000_workers_at_1000_sockets() {
+    report_with_few_sockets(4_000, 1_000).await;
+}
+
 /// Users ask more than a slow state service answers: what is beyond the bound is told at once when to
 /// come back, and workers' reports are answered meanwhile.
 #[tokio::test]
