A body that comes too slowly gets 413, not 400: it may repeat an accepted submission

The protocol counts 400 for an accepted job as disowning it; a submission's body can be held up on its way.

--- a/src/api/bodies.rs
+++ b/src/api/bodies.rs
@@ -129,8 +129,10 @@
         match self {
             BodyError::TooLong => refuse(StatusCode::BAD_REQUEST, "body over 64 KiB"),
             BodyError::Unreadable => refuse(StatusCode::PAYLOAD_TOO_LARGE, "body can't be read"),
+            // Not 400: it may be the repeat of an accepted submission, held up on its way.
             BodyError::TooSlow => {
-                let mut answer = refuse(StatusCode::BAD_REQUEST, "body did not arrive in time");
+                let why = "body did not arrive in time";
+                let mut answer = refuse(StatusCode::PAYLOAD_TOO_LARGE, why);
                 let close = HeaderValue::from_static("close");
                 answer.headers_mut().insert("connection", close);
                 answer
--- a/src/api/bodies/tests.rs
+++ b/src/api/bodies/tests.rs
@@ -64,7 +64,8 @@
         silent: true,
     });
     let refusal = budget.read(slow, Sender::Worker).await.unwrap_err();
-    assert_eq!(refusal.status(), 400);
+    // 400 would disown a job that was accepted before.
+    assert_eq!(refusal.status(), 413);
     assert_eq!(refusal.headers()["connection"], "close");
     assert_eq!(budget.all.available_permits(), 1024 * KIB);
 }
