One way to add a machine, one to find a task's placement; less repetition in bodies and the load

Reports, lists, rentals and records each looked whether a machine is known and then added it; answers, reconciliation and rounds each spelt out the look-up of a placement. Reading a body no longer allocates a list of budgets for each piece.

--- a/benches/load/main.rs
+++ b/benches/load/main.rs
@@ -107,11 +107,8 @@
     let start = |name: &str, profiled: bool| {
         let settings = directory.join(format!("{name}.toml"));
         let log = directory.join(format!("{name}.log"));
-        match profiled {
-            true => NodeProcess::start_profiled(&settings, &log, &directory.join("callgrind")),
-            false => NodeProcess::start(&settings, &log),
-        }
-        .unwrap()
+        let profiles = profiled.then(|| directory.join("callgrind"));
+        NodeProcess::start(&settings, &log, profiles).unwrap()
     };
     // Whoever starts first leads.
     let profiled = !options.native;
@@ -143,13 +140,12 @@
         self.end_phase("start");
         self.pass_time().await;
         self.end_phase("idle");
-        // An eighth of the machines is left for the arrays of the busy phase.
         let open = self.open_connections().await;
         if !open.is_empty() {
             self.end_phase("connections");
         }
         drop(open);
-        // They ask for more than any zone has, until the fleet may grow.
+        // The cloud has no machine yet.
         for _ in 0..self.options.waiting {
             self.submit("run-2", Kind::Array).await;
         }
@@ -158,6 +154,7 @@
             self.end_phase("waiting jobs");
         }
         self.fleet.allow(self.options.machines);
+        // An eighth of the machines is left for the arrays of the busy phase.
         let machines = (self.options.machines - self.options.machines / 8) as u64;
         let services = machines * MACHINE_TASKS / self.options.job_tasks;
         for _ in 0..services {
@@ -241,7 +238,6 @@
                 let answer = http
                     .call(hyper::Method::GET, front, &path, None, PATIENCE)
                     .await;
-                // As a value: "done" is a field's name as well, which comes without its mark.
                 // As the value of "status"; a field is called "done" as well.
                 let over = |body: &[u8]| body.windows(11).any(|text| text == b"status\xa4done");
                 if answer.is_ok_and(|answer| over(&answer.body)) {
@@ -279,26 +275,19 @@
 
     fn print_functions(&self, profile: &Profile) {
         let total = profile.total().max(1);
-        for (name, cost) in profile
-            .inclusive_of("umbervale::")
-            .into_iter()
-            .take(self.options.functions)
-        {
-            println!(
-                "   {:5.1}% {:9} calls {name}",
-                cost.inclusive as f64 * 100.0 / total as f64,
-                cost.calls
-            );
+        let print = |name: &str, instructions: u64, calls: u64| {
+            let share = instructions as f64 * 100.0 / total as f64;
+            println!("   {share:5.1}% {calls:9} calls {name}");
+        };
+        let called = profile.inclusive_of("umbervale::");
+        for (name, cost) in called.into_iter().take(self.options.functions) {
+            print(name, cost.inclusive, cost.calls);
         }
         let mut own: Vec<_> = profile.functions.iter().collect();
         own.sort_by_key(|(_, cost)| std::cmp::Reverse(cost.own));
         println!("   own:");
         for (name, cost) in own.into_iter().take(self.options.functions) {
-            println!(
-                "   {:5.1}% {:9} calls {name}",
-                cost.own as f64 * 100.0 / total as f64,
-                cost.calls
-            );
+            print(name, cost.own, cost.calls);
         }
     }
 }
--- a/benches/load/process.rs
+++ b/benches/load/process.rs
@@ -21,42 +21,21 @@
 }
 
 impl NodeProcess {
-    /// Starts the program natively.
-    pub fn start(settings: &Path, log: &Path) -> std::io::Result<NodeProcess> {
-        let program = env!("CARGO_BIN_EXE_umbervale");
-        let mut command = Command::new(program);
-        command.arg("serve").arg("--config").arg(settings);
-        NodeProcess::spawn(command, log, None)
-    }
-
-    /// Starts the program under callgrind.
-    pub fn start_profiled(
+    /// Starts the program: natively, or under callgrind if it is to write profiles.
+    pub fn start(
         settings: &Path,
         log: &Path,
-        profiles: &Path,
+        profiles: Option<PathBuf>,
     ) -> std::io::Result<NodeProcess> {
         let program = env!("CARGO_BIN_EXE_umbervale");
-        let mut command = Command::new("valgrind");
-        command
-            .arg("--tool=callgrind")
-            .arg(format!("--callgrind-out-file={}", profiles.display()))
-            .arg("--compress-strings=no")
-            .arg("--compress-pos=no")
-            .arg("--collect-systime=no");
-        command
-            .arg(program)
+        let mut command = match &profiles {
+            Some(profiles) => callgrind(profiles, program),
+            None => Command::new(program),
+        };
+        let child = command
             .arg("serve")
             .arg("--config")
-            .arg(settings);
-        NodeProcess::spawn(command, log, Some(profiles.to_owned()))
-    }
-
-    fn spawn(
-        mut command: Command,
-        log: &Path,
-        profiles: Option<PathBuf>,
-    ) -> std::io::Result<NodeProcess> {
-        let child = command
+            .arg(settings)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(fs::File::create(log)?)
@@ -104,6 +83,19 @@
     }
 }
 
+/// The program under callgrind.
+fn callgrind(profiles: &Path, program: &str) -> Command {
+    let mut command = Command::new("valgrind");
+    command
+        .arg("--tool=callgrind")
+        .arg(format!("--callgrind-out-file={}", profiles.display()))
+        .arg("--compress-strings=no")
+        .arg("--compress-pos=no")
+        .arg("--collect-systime=no")
+        .arg(program);
+    command
+}
+
 /// The settings file of a node.
 pub fn settings(
     node: &NodeAddress,
--- a/benches/load/workers.rs
+++ b/benches/load/workers.rs
@@ -56,8 +56,6 @@
     rented: AtomicU64,
     /// Reports answered with 200.
     pub reports: AtomicU64,
-    /// Reports answered otherwise, or not at all.
-    pub refused: AtomicU64,
     nodes: Vec<(String, SocketAddr)>,
     /// Between two reports that tell nothing new.
     report_every: Duration,
@@ -72,7 +70,6 @@
             capacity: AtomicUsize::new(0),
             rented: AtomicU64::new(0),
             reports: AtomicU64::new(0),
-            refused: AtomicU64::new(0),
             nodes,
             report_every,
         })
@@ -146,7 +143,7 @@
         (listed, rest.next().is_some())
     }
 
-    /// Carries out orders that were sent directly; the report that answers them.
+    /// Carries out orders that were sent directly.
     fn take_direct_orders(&self, name: &str, direct: &DirectOrders) {
         if let Some(machine) = self.machines().get_mut(name) {
             machine.seq += 1;
@@ -211,7 +208,6 @@
                 last_tasks = self.pause(&name, sent, changed, last_tasks).await;
                 continue;
             }
-            self.refused.fetch_add(1, Ordering::Relaxed);
             tokio::time::sleep(REPORT_LEAST).await;
             node = self.other_node(node, answer.ok().as_ref());
         }
--- a/src/api/bodies.rs
+++ b/src/api/bodies.rs
@@ -29,10 +29,10 @@
 }
 
 /// A body that was read. Its memory counts until this is dropped.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct ReceivedBody {
     pub bytes: Vec<u8>,
-    _held: Vec<OwnedSemaphorePermit>,
+    held: Vec<OwnedSemaphorePermit>,
 }
 
 /// Why a body was not read.
@@ -69,10 +69,7 @@
     }
 
     async fn read_whole(&self, mut body: Body, sender: Sender) -> Result<ReceivedBody, BodyError> {
-        let mut received = ReceivedBody {
-            bytes: Vec::new(),
-            _held: Vec::new(),
-        };
+        let mut received = ReceivedBody::default();
         let mut length = 0;
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| BodyError::Unreadable)?;
@@ -86,10 +83,7 @@
                 return Err(BodyError::Unreadable);
             }
             if length > k::BODY_MAX {
-                received = ReceivedBody {
-                    bytes: Vec::new(),
-                    _held: Vec::new(),
-                };
+                received = ReceivedBody::default();
                 continue;
             }
             self.hold(&mut received, data.len(), sender)?;
@@ -108,17 +102,13 @@
         bytes: usize,
         sender: Sender,
     ) -> Result<(), BodyError> {
-        let budgets = match sender {
-            Sender::User => vec![&self.users, &self.all],
-            Sender::Worker => vec![&self.all],
-        };
-        for budget in budgets {
-            // A piece is at most as long as a body.
-            let permits = u32::try_from(bytes).map_err(|_| BodyError::TooLong)?;
+        // A piece is at most as long as a body.
+        let permits = u32::try_from(bytes).map_err(|_| BodyError::TooLong)?;
+        let users = (sender == Sender::User).then_some(&self.users);
+        for budget in users.into_iter().chain([&self.all]) {
             let permit = budget.clone().try_acquire_many_owned(permits);
-            received
-                ._held
-                .push(permit.map_err(|_| BodyError::NoMemory)?);
+            let permit = permit.map_err(|_| BodyError::NoMemory)?;
+            received.held.push(permit);
         }
         Ok(())
     }
--- a/src/api/server.rs
+++ b/src/api/server.rs
@@ -17,8 +17,7 @@
     // a byte now and then would keep its connection for ever.
     http.timer(TokioTimer::new())
         .header_read_timeout(connections.pause())
-        .max_buf_size(k::CONNECTION_BUFFER)
-        .half_close(false);
+        .max_buf_size(k::CONNECTION_BUFFER);
     let mut listener = LimitedListener::new(listener, connections);
     loop {
         let (stream, _) = listener.accept().await;
--- a/src/engine/machines.rs
+++ b/src/engine/machines.rs
@@ -95,13 +95,12 @@
         Some(result)
     }
 
-    pub fn get_or_insert_with(
-        &mut self,
-        id: MachineId,
-        new: impl FnOnce(MachineId) -> Machine,
-    ) -> &mut Machine {
-        self.touched.insert(id.clone());
-        self.all.entry(id.clone()).or_insert_with(|| new(id))
+    /// Adds the machine if it is not known yet.
+    pub fn insert_if_absent(&mut self, id: &MachineId, new: impl FnOnce(MachineId) -> Machine) {
+        if !self.all.contains_key(id) {
+            self.all.insert(id.clone(), new(id.clone()));
+            self.touched.insert(id.clone());
+        }
     }
 
     pub fn remove(&mut self, id: &MachineId) -> Option<Machine> {
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -28,7 +28,7 @@
 
 use crate::cloud::{CloudCall, CloudError, CloudReply};
 use crate::constants as k;
-use crate::model::{Job, JobId, MachineId, MachineType, Ms, Token, Types};
+use crate::model::{Job, JobId, MachineId, MachineType, Ms, Placement, TaskId, Token, Types};
 use crate::recent::Recent;
 use crate::settings::{Settings, Timing};
 use crate::store::{StoreCall, StoreError, StoreReply};
@@ -255,6 +255,11 @@
         }
     }
 
+    /// Where a task is placed, if it is.
+    fn placement(&self, task: &TaskId) -> Option<&Placement> {
+        self.jobs.get(&task.job)?.live.get(&task.index)
+    }
+
     fn machine_type(&self, name: &str) -> Option<&MachineType> {
         self.types.as_ref().and_then(|types| types.get(name))
     }
--- a/src/engine/provisioning/machine_list.rs
+++ b/src/engine/provisioning/machine_list.rs
@@ -80,12 +80,10 @@
         return;
     }
     let age_ms = (listed.age_s.clamp(0.0, 1e9) * 1000.0) as u64;
-    if !leader.machines.contains_key(&id) {
+    leader.machines.insert_if_absent(&id, |id| {
         tracing::info!(machine = %id, "machine found in the list");
-        leader.machines.get_or_insert_with(id.clone(), |id| {
-            Machine::new(id, "".into(), "".into(), listed.spot, now)
-        });
-    }
+        Machine::new(id, "".into(), "".into(), listed.spot, now)
+    });
     leader.machines.update(&id, |machine| {
         machine.vouched = true;
         // Whether or not it has reported: one that has is not new either.
--- a/src/engine/provisioning/renting.rs
+++ b/src/engine/provisioning/renting.rs
@@ -171,7 +171,7 @@
     leader.provisioning.refusals.remove(offer);
     for name in names {
         let id = MachineId::from(&**name);
-        let machine = leader.machines.get_or_insert_with(id, |id| {
+        leader.machines.insert_if_absent(&id, |id| {
             Machine::new(
                 id,
                 offer.machine_type.clone(),
@@ -180,7 +180,9 @@
                 now,
             )
         });
-        machine.vouched = true;
+        leader
+            .machines
+            .update(&id, |machine| machine.vouched = true);
     }
 }
 
--- a/src/engine/recovery.rs
+++ b/src/engine/recovery.rs
@@ -178,12 +178,10 @@
         }
         let leader = self.leader_mut()?;
         for group in &starts {
-            leader
-                .machines
-                .get_or_insert_with(group.machine.clone(), |id| {
-                    // Type and zone follow with its first report.
-                    Machine::new(id, "".into(), "".into(), false, now)
-                });
+            leader.machines.insert_if_absent(&group.machine, |id| {
+                // Type and zone follow with its first report.
+                Machine::new(id, "".into(), "".into(), false, now)
+            });
         }
         let round = leader.rounds.open.entry(number).or_default();
         round.parts.push(RoundPart {
--- a/src/engine/reports/answers.rs
+++ b/src/engine/reports/answers.rs
@@ -71,8 +71,7 @@
             return false;
         };
         machine.tasks.iter().any(|task| {
-            let job = self.jobs.get(&task.job);
-            let placement = job.and_then(|j| j.live.get(&task.index));
+            let placement = self.placement(task);
             placement.is_some_and(|p| p.stage == Stage::Planned)
         })
     }
@@ -85,9 +84,7 @@
         };
         let may_start = lease_valid && machine.phase == MachinePhase::Up && machine.heard;
         let has_orders = |task: &&TaskId| {
-            let job = self.jobs.get(&task.job);
-            let placement = job.and_then(|job| job.live.get(&task.index));
-            placement.is_some_and(|placement| {
+            self.placement(task).is_some_and(|placement| {
                 placement.stop.is_some() || matches!(placement.stage, Stage::Starting { .. })
             })
         };
@@ -104,7 +101,7 @@
 
     /// The stop of a task that is being stopped.
     fn stop_order(&self, task: &TaskId) -> Option<Order> {
-        let placement = self.jobs.get(&task.job)?.live.get(&task.index)?;
+        let placement = self.placement(task)?;
         let stop = placement.stop?;
         Some(Order::Stop {
             task: task.to_string(),
--- a/src/engine/reports/reconciliation.rs
+++ b/src/engine/reports/reconciliation.rs
@@ -27,12 +27,10 @@
             return false;
         }
         let token = leader.token_for(&id, Token(report.token));
-        if !leader.machines.contains_key(&id) {
+        leader.machines.insert_if_absent(&id, |id| {
             tracing::info!(machine = %id, "unexpected machine reports");
-            leader.machines.get_or_insert_with(id.clone(), |id| {
-                Machine::new(id, "".into(), "".into(), report.spot, now)
-            });
-        }
+            Machine::new(id, "".into(), "".into(), report.spot, now)
+        });
         let noted = leader.machines.update(&id, |machine| {
             if seq_no <= machine.seq_no {
                 return None;
@@ -244,8 +242,7 @@
             return Vec::new();
         };
         let absent = |task: &&TaskId| {
-            let job = self.jobs.get(&task.job);
-            let placement = job.and_then(|j| j.live.get(&task.index));
+            let placement = self.placement(task);
             placement.is_some_and(|p| !reported.contains(&((*task).clone(), p.attempt)))
         };
         machine.tasks.iter().filter(absent).cloned().collect()
@@ -254,8 +251,7 @@
     /// Whether a task that its machine's report of this number does not name is surely not there,
     /// and is not to be sent again.
     fn is_gone(&self, task: &TaskId, seq_no: SeqNo) -> bool {
-        let job = self.jobs.get(&task.job);
-        let Some(placement) = job.and_then(|j| j.live.get(&task.index)) else {
+        let Some(placement) = self.placement(task) else {
             return false;
         };
         match placement.stage {
--- a/src/engine/rounds/writing.rs
+++ b/src/engine/rounds/writing.rs
@@ -353,8 +353,7 @@
 
     /// Takes a task that was never started off the model; it waits again.
     fn withdraw(&mut self, task: &TaskId, attempt: u64) {
-        let job = self.jobs.get(&task.job);
-        let placement = job.and_then(|job| job.live.get(&task.index));
+        let placement = self.placement(task);
         if placement.is_some_and(|p| p.attempt == attempt) {
             self.take_off(task);
             self.settle_job(&task.job);
--- a/src/placement/consolidation.rs
+++ b/src/placement/consolidation.rs
@@ -59,8 +59,9 @@
 /// Whether each of the replicas has a place on a machine that is at least as full, holds services,
 /// and has its image. Within the zone, so that the spread over zones stays as it is.
 fn all_find_room(replicas: &[&Spec], from: &Slot, targets: &[&Slot]) -> bool {
+    let least_share = share(from);
     let may_take =
-        |slot: &Slot| slot.id != from.id && slot.zone == from.zone && share(slot) >= share(from);
+        |slot: &Slot| slot.id != from.id && slot.zone == from.zone && share(slot) >= least_share;
     // Copies of those that were given replicas.
     let mut filled: BTreeMap<usize, Slot> = BTreeMap::new();
     replicas.iter().all(|spec| {
