Tests over HTTP and the load share one store of records

Each had its own commit, list and changes. The tests' lists are now paged and their changes are of the asked prefix, as the protocol says; no assertion changed.

--- a/benches/load/main.rs
+++ b/benches/load/main.rs
@@ -11,6 +11,8 @@
 mod cloud;
 mod process;
 mod profile;
+#[path = "../../tests/support/records.rs"]
+mod records;
 mod state_service;
 mod workers;
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,14 +4,17 @@
 // Helpers of a test may panic: that is how it fails. Each test program uses a part of them.
 #![allow(clippy::unwrap_used, clippy::expect_used, dead_code)]
 
+mod records;
+
 use axum::Router;
 use axum::body::Bytes;
 use axum::extract::{Path, Query, State};
 use axum::http::StatusCode;
 use axum::routing::{get, post};
 use hyper::Method;
+use records::Records;
 use rmpv::Value;
-use std::collections::{BTreeMap, HashMap};
+use serde::Deserialize;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -26,15 +29,6 @@
 /// Long enough for a busy machine; nothing waits for it when all is well.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
-/// What the state service holds.
-#[derive(Default)]
-pub struct Records {
-    pub values: BTreeMap<String, (Value, u64)>,
-    revision: u64,
-    events: Vec<(u64, ws::Event)>,
-    leases: u64,
-}
-
 /// The state service, with what may be wrong with it.
 #[derive(Default)]
 pub struct StateService {
@@ -74,7 +68,7 @@
             value,
             version,
         };
-        records.events.push((version, event));
+        records.note_change(event);
         self.changed.notify_waiters();
     }
 
@@ -122,101 +116,68 @@
         service.end_job_under(&key);
     }
     let records = service.records.lock().unwrap();
-    let Some((value, version)) = records.values.get(&key) else {
-        let revision = map(vec![("ledger_rev", records.revision.into())]);
-        return (StatusCode::NOT_FOUND, encode(&revision));
-    };
-    let (value, version) = (value.clone(), *version);
-    let item = ws::Item {
-        key,
-        value,
-        version,
-    };
-    (StatusCode::OK, encode(&item))
+    match records.item(&key) {
+        Some(item) => (StatusCode::OK, encode(&item)),
+        None => {
+            let revision = records.revision;
+            (StatusCode::NOT_FOUND, encode(&ws::Revision { revision }))
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct ListQuery {
+    under: String,
+    after: Option<String>,
+    page: usize,
 }
 
-async fn list(State(service): Shared, Query(query): Query<HashMap<String, String>>) -> Vec<u8> {
+async fn list(State(service): Shared, Query(query): Query<ListQuery>) -> Vec<u8> {
     let records = service.records.lock().unwrap();
-    let under = |(key, _): &(&String, &(Value, u64))| key.starts_with(&query["under"]);
-    let items = records.values.iter().filter(under);
-    let items = items.map(|(key, (value, version))| ws::Item {
-        key: key.clone(),
-        value: value.clone(),
-        version: *version,
-    });
-    encode(&ws::Listing {
-        items: items.collect(),
-        more: false,
-        revision: records.revision,
-    })
+    encode(&records.list(&query.under, query.after.as_deref(), query.page))
 }
 
 async fn commit(State(service): Shared, body: Bytes) -> (StatusCode, Vec<u8>) {
     if service.down.load(Ordering::Relaxed) {
         return (StatusCode::SERVICE_UNAVAILABLE, Vec::new());
     }
-    let txn: ws::Txn = decode(&body).unwrap();
-    let mut records = service.records.lock().unwrap();
-    let version = |key: &str| records.values.get(key).map_or(0, |(_, version)| *version);
-    let failed = txn.conditions.iter();
-    let failed = failed.filter(|condition| version(&condition.key) != condition.version);
-    let failed: Vec<String> = failed.map(|condition| condition.key.clone()).collect();
-    if !failed.is_empty() {
-        return (StatusCode::CONFLICT, encode(&ws::Conflict { failed }));
-    }
-    records.revision += 1;
-    let version = records.revision;
-    for write in txn.writes {
-        let event = match write {
-            ws::Write::Put { put, value, .. } => {
-                let stored = (value.clone(), version);
-                records.values.insert(put.clone(), stored);
-                ws::Event::Put {
-                    put,
-                    value,
-                    version,
-                }
-            }
-            ws::Write::Delete { delete } => {
-                records.values.remove(&delete);
-                ws::Event::Delete { delete, version }
-            }
-        };
-        records.events.push((version, event));
+    let transaction = decode(&body).unwrap();
+    match service.records.lock().unwrap().commit(transaction) {
+        Err(failed) => (StatusCode::CONFLICT, encode(&ws::Conflict { failed })),
+        Ok(revision) => {
+            service.changed.notify_waiters();
+            (StatusCode::OK, encode(&ws::Revision { revision }))
+        }
     }
-    service.changed.notify_waiters();
-    let revision = ws::Revision { revision: version };
-    (StatusCode::OK, encode(&revision))
 }
 
 async fn new_lease(State(service): Shared) -> Vec<u8> {
-    let mut records = service.records.lock().unwrap();
-    records.leases += 1;
-    let lease = records.leases;
-    encode(&ws::Lease { lease })
+    encode(&service.records.lock().unwrap().new_lease())
 }
 
 async fn renew_lease() -> StatusCode {
     StatusCode::OK
 }
 
-async fn changes(State(service): Shared, Query(query): Query<HashMap<String, String>>) -> Vec<u8> {
-    let after: u64 = query["after"].parse().unwrap();
-    let wait = Duration::from_millis(query["block_ms"].parse().unwrap());
+#[derive(Deserialize)]
+struct WatchQuery {
+    under: String,
+    after: u64,
+    block_ms: u64,
+}
+
+async fn changes(State(service): Shared, Query(query): Query<WatchQuery>) -> Vec<u8> {
+    let wait = Duration::from_millis(query.block_ms);
     let changed = service.changed.notified();
     let find = || {
         if service.silent.load(Ordering::Relaxed) {
             return ws::Changes {
-                revision: after,
+                revision: query.after,
                 events: Vec::new(),
             };
         }
         let records = service.records.lock().unwrap();
-        let events = records.events.iter().filter(|(at, _)| *at > after);
-        ws::Changes {
-            revision: records.revision,
-            events: events.map(|(_, event)| event.clone()).collect(),
-        }
+        records.changes_after(&query.under, query.after)
     };
     if find().events.is_empty() {
         let _ = tokio::time::timeout(wait, changed).await;
--- /dev/null
+++ b/tests/support/records.rs
@@ -0,0 +1,118 @@
+//! What a state service written from the protocol holds: keys, conditional commits and changes. The
+//! tests over HTTP and the load (`benches/load`) share it.
+
+use rmpv::Value;
+use std::collections::{BTreeMap, VecDeque};
+use umbervale::wire::store as wire;
+
+/// Changes that are kept for watches, as the protocol says.
+const CHANGES_KEPT: usize = 10_000;
+
+/// Keys with their values and versions, and the changes that led there.
+#[derive(Default)]
+pub struct Records {
+    pub values: BTreeMap<String, (Value, u64)>,
+    pub revision: u64,
+    changes: VecDeque<(u64, wire::Event)>,
+    leases: u64,
+}
+
+impl Records {
+    fn version(&self, key: &str) -> u64 {
+        self.values.get(key).map_or(0, |(_, version)| *version)
+    }
+
+    /// The key with its value.
+    pub fn item(&self, key: &str) -> Option<wire::Item> {
+        let (value, version) = self.values.get(key)?;
+        Some(wire::Item {
+            key: key.to_owned(),
+            value: value.clone(),
+            version: *version,
+        })
+    }
+
+    /// A page of the keys with a prefix, after that key if one is given.
+    pub fn list(&self, under: &str, after: Option<&str>, page: usize) -> wire::Listing {
+        let from = after.unwrap_or(under);
+        let mut keys = self
+            .values
+            .range(from.to_owned()..)
+            .map(|(key, _)| key)
+            .take_while(|key| key.starts_with(under))
+            .filter(|key| after != Some(key));
+        let items = keys.by_ref().take(page);
+        let items = items.filter_map(|key| self.item(key)).collect();
+        wire::Listing {
+            items,
+            more: keys.next().is_some(),
+            revision: self.revision,
+        }
+    }
+
+    /// Carries a transaction out: the new revision, or the keys whose conditions fail.
+    pub fn commit(&mut self, transaction: wire::Txn) -> Result<u64, Vec<String>> {
+        let failed = transaction.conditions.iter();
+        let failed = failed.filter(|condition| self.version(&condition.key) != condition.version);
+        let failed: Vec<String> = failed.map(|condition| condition.key.clone()).collect();
+        if !failed.is_empty() {
+            return Err(failed);
+        }
+        self.revision += 1;
+        for write in transaction.writes {
+            self.apply(write);
+        }
+        Ok(self.revision)
+    }
+
+    fn apply(&mut self, write: wire::Write) {
+        let version = self.revision;
+        let event = match write {
+            wire::Write::Put { put, value, .. } => {
+                let stored = (value.clone(), version);
+                self.values.insert(put.clone(), stored);
+                wire::Event::Put {
+                    put,
+                    value,
+                    version,
+                }
+            }
+            wire::Write::Delete { delete } => {
+                self.values.remove(&delete);
+                wire::Event::Delete { delete, version }
+            }
+        };
+        self.note_change(event);
+    }
+
+    /// Has watches told of a change of the present revision.
+    pub fn note_change(&mut self, event: wire::Event) {
+        self.changes.push_back((self.revision, event));
+        if self.changes.len() > CHANGES_KEPT {
+            self.changes.pop_front();
+        }
+    }
+
+    /// The changes of keys with a prefix after that revision.
+    pub fn changes_after(&self, under: &str, after: u64) -> wire::Changes {
+        let is_under = |event: &wire::Event| match event {
+            wire::Event::Put { put, .. } => put.starts_with(under),
+            wire::Event::Delete { delete, .. } => delete.starts_with(under),
+        };
+        let newer = self.changes.iter().rev();
+        let newer = newer.take_while(|(at, _)| *at > after);
+        let mut events: Vec<_> = newer.map(|(_, event)| event.clone()).collect();
+        events.reverse();
+        events.retain(is_under);
+        wire::Changes {
+            revision: self.revision,
+            events,
+        }
+    }
+
+    /// A lease of its own.
+    pub fn new_lease(&mut self) -> wire::Lease {
+        self.leases += 1;
+        wire::Lease { lease: self.leases }
+    }
+}
