--- a/review/standin/cluster.py
+++ b/review/standin/cluster.py
@@ -316,6 +316,12 @@
     folder = sys.argv[1]
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
+    def interrupted(number, frame):
+        raise SystemExit(2)
+
+    # The controllers are ended also if this process is told to end.
+    signal.signal(signal.SIGTERM, interrupted)
+
     async def whole():
         # Connections and tasks that are cut off at the end of the run are no errors.
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
--- a/review/standin/workers.py
+++ b/review/standin/workers.py
@@ -175,6 +175,8 @@
             return
         self.see(answer["warrant"])
         self.lease_from = sent
+        if answer.get("orders"):
+            self.fleet.record("worker %s <- answer to a report: %s" % (self.name, answer["orders"]))
         self.execute(answer.get("orders") or [])
 
     async def handle(self, method, path, query, body):
@@ -187,6 +189,8 @@
         if body["warrant"] < self.warrant or body["shift"] != self.shift:
             return 409, self.body()
         self.see(body["warrant"])
+        if body.get("orders"):
+            self.fleet.record("worker %s <- direct commands: %s" % (self.name, body["orders"]))
         self.execute(body.get("orders") or [])
         return 200, self.body()
 
