--- a/review/standin/cluster.py
+++ b/review/standin/cluster.py
@@ -23,12 +23,17 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Free ports below the range from which the system takes those of outgoing connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.SystemRandom().randrange(12_000, 30_000)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
