Log why a task of a gang exited, and how many others still fetch

Cause: the log named only the job when a gang lost a task, so an exit of a task that waited in vain could not be told from a lost start, a refused one or a lost machine, nor could one see what the stop of the rest costs.

Change: `gang task exited` with task, machine and reason, and the counts `placed` and `fetching` in `gang lost a task, stopping the rest`.

--- a/src/engine/heartbeats/exits.rs
+++ b/src/engine/heartbeats/exits.rs
@@ -41,10 +41,10 @@
             ExitReason::InsufficientResources | ExitReason::AttemptConflict => {
                 tracing::info!(task = %id, %machine, ?reason, "start refused");
             }
-            ExitReason::Completed
-            | ExitReason::Stopped
-            | ExitReason::GangPeerLost
-            | ExitReason::GangIncomplete => {}
+            ExitReason::GangPeerLost | ExitReason::GangIncomplete => {
+                tracing::info!(task = %id, %machine, ?reason, "gang task exited");
+            }
+            ExitReason::Completed | ExitReason::Stopped => {}
         }
     }
 
--- a/src/engine/stopping.rs
+++ b/src/engine/stopping.rs
@@ -32,7 +32,8 @@
         };
         let has_no_stop_request = |placement: &Placement| placement.stop_request.is_none();
         if job.is_gang() && job.is_open() && job.placements.values().any(has_no_stop_request) {
-            tracing::info!(job = %id, "gang lost a task, stopping the rest");
+            let (placed, fetching) = (job.placements.len(), job.fetching_tasks());
+            tracing::info!(job = %id, placed, fetching, "gang lost a task, stopping the rest");
             job.stop_all_tasks(job.spec.checkpoint_grace_s(), now);
             self.send_stop_commands(id);
         }
--- a/src/model/job.rs
+++ b/src/model/job.rs
@@ -216,14 +216,17 @@
 
     /// Returns the number of tasks that workers report as running.
     pub fn running_tasks(&self) -> u64 {
-        self.placements
-            .values()
-            .filter(|placement| {
-                matches!(
-                    placement.stage,
-                    PlacementStage::Reported(TaskState::Running)
-                )
-            })
-            .count() as u64
+        self.tasks_reported_as(TaskState::Running)
+    }
+
+    /// Returns the number of tasks that workers report as waiting for their image.
+    pub fn fetching_tasks(&self) -> u64 {
+        self.tasks_reported_as(TaskState::Fetching)
+    }
+
+    fn tasks_reported_as(&self, state: TaskState) -> u64 {
+        let stages = self.placements.values().map(|placement| placement.stage);
+        let reported = stages.filter(|stage| *stage == PlacementStage::Reported(state));
+        reported.count() as u64
     }
 }
