Start a gang's task again that waited in vain for the others' images

What users saw: an accepted gang whose machines have its image more than gang_wait_s apart never began.

Cause: the exit GangIncomplete of the task that had its image was handled as the loss of a task, so the rest of the gang was stopped, and a worker gives a fetch up when no task waits for it.

Change: the exited task keeps its place (PlacementStage::AwaitingRestart) and is started again with the same attempt on the same machine once no task of the gang waits for its image; all exited ones together, and not while another is about to exit. The commands to forget and to start travel in one response. Nothing new is stored and no message changes. The attempt is over as before if a task is lost, stopped, refused or runs; also after three restarts, or when a fetch takes three times its nominal time.

Why this works: the fetches go on, so the last image arrives after one fetch at most, and the protocol lets a replacement with the same attempt complete a gang that has not begun.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -359,6 +359,15 @@
 /// Number of times that a start is resent when it is missing from the next heartbeat, before its
 /// round counts as stalled.
 pub const MAX_START_RESENDS: u32 = 3;
+/// Number of times that the commands to start an exited task of a gang again are sent in the same
+/// attempt. A gang that has not begun by then is kept from it by something else than image fetches,
+/// and is placed anew.
+pub const MAX_GANG_RESTARTS: u32 = 3;
+/// Multiple of the nominal time to fetch a machine's images after which a fetch counts as stalled.
+/// By the protocol a machine may fetch a third slower than its nominal rate.
+pub const STALLED_FETCH_FACTOR: f64 = 3.0;
+/// Minimum time after which an image fetch counts as stalled.
+pub const MIN_FETCH_TIME_LIMIT: Duration = Duration::from_millis(60_000);
 /// Number of different jobs with failed tasks on a machine, without a completion in between, at
 /// which the machine is quarantined. Failures of a single job may be the job's own fault.
 pub const QUARANTINE_FAILED_JOBS: usize = 2;
--- a/src/engine/heartbeats/exits.rs
+++ b/src/engine/heartbeats/exits.rs
@@ -12,14 +12,20 @@
         let Some(job) = self.jobs.get(&id.job) else {
             return;
         };
+        let completed = task.exit_reason == Some(ExitReason::Completed);
+        let completes_array_task = completed && job.spec.kind == JobKind::Array;
         let is_placed_here = job.placements.get(&id.index).is_some_and(|placement| {
             placement.machine == *machine && placement.attempt == task.attempt
         });
-        let completed = task.exit_reason == Some(ExitReason::Completed);
+        if !is_placed_here && !completes_array_task {
+            return;
+        }
         if is_placed_here {
+            let gang_incomplete = task.exit_reason == Some(ExitReason::GangIncomplete);
+            if gang_incomplete && self.await_gang_restart(machine, id) {
+                return;
+            }
             self.remove_placement(id);
-        } else if !completed || job.spec.kind != JobKind::Array {
-            return;
         }
         match task.exit_reason {
             Some(ExitReason::Completed) => self.on_task_completed(machine, id),
@@ -76,13 +82,17 @@
         }
     }
 
-    /// Reports whether the worker may forget a task that has exited. Only a completion has to be
-    /// durable first. After any other exit the task is queued again; a new leader does the same
-    /// with a task that its machine no longer reports.
+    /// Reports whether the worker may forget a task that has exited. A completion has to be durable
+    /// first, and a task that is kept for a restart is forgotten only together with its start.
+    /// After any other exit the task is queued again; a new leader does the same with a task that
+    /// its machine no longer reports.
     pub(super) fn may_forget(&self, id: &TaskId, task: &Task) -> bool {
         let Some(job) = self.jobs.get(&id.job) else {
             return true;
         };
+        if self.is_kept_for_restart(id, task.attempt) {
+            return false;
+        }
         if task.exit_reason != Some(ExitReason::Completed) {
             return true;
         }
--- a/src/engine/heartbeats/failures.rs
+++ b/src/engine/heartbeats/failures.rs
@@ -9,7 +9,7 @@
     /// Handles the failure of a task: delays the job's restart and records the job as failed on the
     /// machine. A machine on which [`constants::QUARANTINE_FAILED_JOBS`] jobs have failed since a
     /// task last completed there is quarantined.
-    pub(super) fn on_task_failed(&mut self, machine: &MachineId, id: &JobId) {
+    pub(in crate::engine) fn on_task_failed(&mut self, machine: &MachineId, id: &JobId) {
         self.delay_restart(id);
         if let Some(job) = self.jobs.get_mut(id) {
             job.failed_machines.insert(machine.clone());
--- a/src/engine/heartbeats/reconciliation.rs
+++ b/src/engine/heartbeats/reconciliation.rs
@@ -84,8 +84,7 @@
     /// Handles a task that has not exited. Returns false if this attempt is not placed on the
     /// machine.
     fn reconcile_present(&mut self, machine: &MachineId, id: &TaskId, task: &Task) -> bool {
-        let now = self.context.now();
-        let Some(placement) = self.jobs.placement_mut(id) else {
+        let Some(placement) = self.jobs.placement(id) else {
             return false;
         };
         if placement.machine != *machine || placement.attempt != task.attempt {
@@ -95,8 +94,32 @@
         if placement.stage == reported {
             return true;
         }
-        let is_first_report = !matches!(placement.stage, PlacementStage::Reported(_));
-        placement.stage = reported;
+        self.record_reported_stage(machine, id, reported);
+        match task.state {
+            TaskState::Running => {
+                tracing::debug!(task = %id, %machine, "task runs");
+                self.record_image(machine, &id.job);
+            }
+            TaskState::WaitingForGang => self.restart_gang_if_ready(&id.job),
+            TaskState::Fetching | TaskState::Checkpointing | TaskState::Exited => {}
+        }
+        true
+    }
+
+    /// Records the stage that follows from a heartbeat of the task's machine. The first heartbeat
+    /// that lists the task confirms its start, after which the machine may get further tasks.
+    pub(in crate::engine) fn record_reported_stage(
+        &mut self,
+        machine: &MachineId,
+        id: &TaskId,
+        stage: PlacementStage,
+    ) {
+        let now = self.context.now();
+        let Some(placement) = self.jobs.placement_mut(id) else {
+            return;
+        };
+        let is_first_report = !placement.stage.is_confirmed();
+        placement.enter_stage(stage, now);
         if is_first_report {
             placement.stage_since = now;
         }
@@ -106,11 +129,6 @@
             }
             leader.machines.mark_dirty(machine);
         }
-        if task.state == TaskState::Running {
-            tracing::debug!(task = %id, %machine, "task runs");
-            self.record_image(machine, &id.job);
-        }
-        true
     }
 
     /// Records that the machine has the job's image in its cache.
@@ -173,7 +191,9 @@
                 sent: Some(sent),
                 resends,
             } => sent < sequence && (resends >= constants::MAX_START_RESENDS || stop_requested),
-            PlacementStage::Reported(_) => true,
+            PlacementStage::Reported(_)
+            | PlacementStage::AwaitingRestart
+            | PlacementStage::Restarting => true,
         }
     }
 }
--- a/src/engine/heartbeats/responses.rs
+++ b/src/engine/heartbeats/responses.rs
@@ -4,8 +4,7 @@
 use crate::engine::Engine;
 use crate::engine::messages::{Reply, ReplyId};
 use crate::model::{
-    FencingToken, HeartbeatSequence, MachineId, MachinePhase, Placement, PlacementStage, TaskId,
-    Timestamp,
+    FencingToken, HeartbeatSequence, MachineId, MachinePhase, PlacementStage, TaskId, Timestamp,
 };
 use crate::wire::worker::{HeartbeatResponse, WorkerCommand};
 
@@ -125,18 +124,21 @@
         let needs_command = |task: &&TaskId| {
             let placement = self.jobs.placement(task);
             placement.is_some_and(|placement| {
-                let starting = matches!(placement.stage, PlacementStage::Starting { .. });
-                starting || placement.stop_request.is_some()
+                let needs_start = matches!(
+                    placement.stage,
+                    PlacementStage::Starting { .. } | PlacementStage::Restarting
+                );
+                needs_start || placement.stop_request.is_some()
             })
         };
         let tasks = machine.tasks.iter().filter(needs_command);
         let tasks: Vec<TaskId> = tasks.cloned().collect();
         tasks
             .iter()
-            .filter_map(|task| match self.stop_command(task) {
-                Some(stop) => Some(stop),
-                None if may_start => self.start_command(id, task, sequence),
-                None => None,
+            .flat_map(|task| match self.stop_command(task) {
+                Some(stop) => vec![stop],
+                None if may_start => self.start_commands(id, task, sequence),
+                None => Vec::new(),
             })
             .collect()
     }
@@ -152,33 +154,45 @@
         })
     }
 
-    /// Returns the start command for a task that its machine has not reported yet, and records that
-    /// the start is sent with the response to heartbeat `sequence`.
-    fn start_command(
+    /// Returns the commands that start a task, and records that they are sent with the response to
+    /// heartbeat `sequence`. Before a task is started again, the worker has to forget the exit of
+    /// the same attempt.
+    fn start_commands(
         &mut self,
         machine: &MachineId,
         task: &TaskId,
         sequence: HeartbeatSequence,
-    ) -> Option<WorkerCommand> {
-        let job = self.jobs.get_mut(&task.job).filter(|job| job.is_open())?;
-        let placement: &mut Placement = job.placements.get_mut(&task.index)?;
-        let PlacementStage::Starting { sent, resends } = placement.stage else {
-            return None;
-        };
-        // A start that an earlier leader may have sent is never sent again. Such a start is marked
-        // with u32::MAX resends.
-        if resends == u32::MAX {
-            return None;
-        }
-        let resends = if sent.is_some() { resends + 1 } else { 0 };
-        placement.stage = PlacementStage::Starting {
-            sent: Some(sequence),
-            resends,
+    ) -> Vec<WorkerCommand> {
+        let job = self.jobs.get_mut(&task.job).filter(|job| job.is_open());
+        let Some(placement) = job.and_then(|job| job.placements.get_mut(&task.index)) else {
+            return Vec::new();
         };
-        tracing::debug!(%task, %machine, resends, "start sent");
-        Some(WorkerCommand::Start {
+        let start = WorkerCommand::Start {
             task: task.to_string(),
             attempt: placement.attempt,
-        })
+        };
+        match placement.stage {
+            PlacementStage::Restarting => {
+                placement.restarts += 1;
+                tracing::debug!(%task, %machine, restarts = placement.restarts, "restart sent");
+                let forget = WorkerCommand::Forget {
+                    task: task.to_string(),
+                    attempt: placement.attempt,
+                };
+                vec![forget, start]
+            }
+            // A start that an earlier leader may have sent is never sent again. Such a start is
+            // marked with u32::MAX resends.
+            PlacementStage::Starting { sent, resends } if resends != u32::MAX => {
+                let resends = if sent.is_some() { resends + 1 } else { 0 };
+                tracing::debug!(%task, %machine, resends, "start sent");
+                placement.stage = PlacementStage::Starting {
+                    sent: Some(sequence),
+                    resends,
+                };
+                vec![start]
+            }
+            _ => Vec::new(),
+        }
     }
 }
--- a/src/engine/machines/snapshot.rs
+++ b/src/engine/machines/snapshot.rs
@@ -100,8 +100,7 @@
         if job.spec.kind == JobKind::Service {
             self.long_running += job.spec.request;
         }
-        let reported =
-            placement.filter(|placement| matches!(placement.stage, PlacementStage::Reported(_)));
+        let reported = placement.filter(|placement| placement.stage.is_confirmed());
         self.has_unconfirmed_start |= placement.is_some() && reported.is_none();
         let fetching = PlacementStage::Reported(TaskState::Fetching);
         let has_image = machine.has_image(&job.spec.image)
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -19,6 +19,7 @@
 mod dependencies;
 mod dependency_steps;
 mod election;
+mod gang_restarts;
 mod heartbeats;
 mod jobs;
 mod leader;
--- a/src/engine/recovery.rs
+++ b/src/engine/recovery.rs
@@ -245,17 +245,12 @@
         if is_outdated || index >= job.spec.tasks || job.completed.contains(index) {
             return;
         }
-        let placement = Placement {
-            machine: machine.clone(),
-            attempt,
-            // An earlier leader may have sent the start, so this leader never sends it again.
-            stage: PlacementStage::Starting {
-                sent: Some(HeartbeatSequence::default()),
-                resends: u32::MAX,
-            },
-            stage_since: now,
-            stop_request: None,
+        // An earlier leader may have sent the start, so this leader never sends it again.
+        let stage = PlacementStage::Starting {
+            sent: Some(HeartbeatSequence::default()),
+            resends: u32::MAX,
         };
+        let placement = Placement::new(machine.clone(), attempt, stage, now);
         job.place(index, placement);
         if !job.is_open() {
             job.stop_all_tasks(0, now);
--- a/src/engine/rounds/writing.rs
+++ b/src/engine/rounds/writing.rs
@@ -132,13 +132,8 @@
             let Some(job) = self.jobs.get_mut(&start.job) else {
                 continue;
             };
-            let placement = Placement {
-                machine: start.machine.clone(),
-                attempt: number,
-                stage: PlacementStage::Planned,
-                stage_since: now,
-                stop_request: None,
-            };
+            let machine = start.machine.clone();
+            let placement = Placement::new(machine, number, PlacementStage::Planned, now);
             job.place(start.index, placement);
             if let Some(machine) = leader.machines.get_mut(&start.machine) {
                 machine.tasks.insert(TaskId {
--- a/src/engine/stopping.rs
+++ b/src/engine/stopping.rs
@@ -39,9 +39,10 @@
         }
     }
 
-    /// Sends the stop commands of a job's tasks directly, without waiting for the heartbeats of
-    /// their machines.
+    /// Carries out the stop requests of a job's tasks without waiting for the heartbeats of their
+    /// machines: sends the stop commands directly, and removes the tasks that have exited already.
     pub(super) fn send_stop_commands(&mut self, id: &JobId) {
+        self.remove_stopped_exited_tasks(id);
         let Some(leader) = self.leadership.leader_mut() else {
             return;
         };
--- a/src/engine/test_support.rs
+++ b/src/engine/test_support.rs
@@ -37,13 +37,7 @@
 
 /// Returns the placement of a task's first attempt on `host-1` in the given stage.
 pub(super) fn placement(stage: PlacementStage) -> Placement {
-    Placement {
-        machine: "host-1".into(),
-        attempt: 1,
-        stage,
-        stage_since: instant(0),
-        stop_request: None,
-    }
+    Placement::new("host-1".into(), 1, stage, instant(0))
 }
 
 /// Returns a job collection that contains only the given job, under the id `run-1`.
--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -4,6 +4,7 @@
 mod dependencies;
 mod failover;
 mod failover_at_scale;
+mod gang_starts;
 mod job_lifecycle;
 mod large_fleet;
 mod large_gangs;
--- a/src/engine/tests/simulated_cluster/mod.rs
+++ b/src/engine/tests/simulated_cluster/mod.rs
@@ -21,6 +21,7 @@
 
 pub(crate) use faults::{Faults, MachineListFault};
 pub(crate) use settings::node_settings;
+use workers::WorkerConditions;
 pub(crate) use workers::{Worker, WorkerTask};
 
 use super::replay::Recorder;
@@ -100,6 +101,8 @@
     pub(crate) started_jobs: BTreeSet<String>,
     /// Machines returned to the cloud, in the order of their return.
     pub(crate) returned_machines: Vec<String>,
+    /// How the workers fetch images and begin gangs.
+    pub(crate) worker_conditions: WorkerConditions,
     /// The node to which the workers of new machines send their first heartbeat. If it is `None`,
     /// the nodes take turns.
     pub(crate) initial_node: Option<usize>,
@@ -163,6 +166,7 @@
             machines_of_task: BTreeMap::new(),
             started_jobs: BTreeSet::new(),
             returned_machines: Vec::new(),
+            worker_conditions: WorkerConditions::default(),
             initial_node: None,
             gpus_max,
             page_items: PAGE_ITEMS,
--- a/src/engine/tests/simulated_cluster/workers/mod.rs
+++ b/src/engine/tests/simulated_cluster/workers/mod.rs
@@ -4,7 +4,7 @@
 mod heartbeats;
 mod tasks;
 
-pub(crate) use tasks::WorkerTask;
+pub(crate) use tasks::{WorkerConditions, WorkerTask};
 
 use super::{Millis, SimulatedCluster};
 use crate::wire::worker::Heartbeat;
--- a/src/engine/tests/simulated_cluster/workers/tasks.rs
+++ b/src/engine/tests/simulated_cluster/workers/tasks.rs
@@ -10,6 +10,16 @@
 /// Time to fetch an image that is not in the machine's cache.
 const IMAGE_FETCH_TIME: Millis = 8_000;
 
+/// How the workers fetch images and begin gangs.
+#[derive(Default)]
+pub(crate) struct WorkerConditions {
+    /// Time to fetch an image on machines that differ from the others, by name of the machine.
+    pub(crate) fetch_times: BTreeMap<String, Millis>,
+    /// Time after which a task that waits for its gang exits. If it is `None`, the tasks of a gang
+    /// do not wait for each other.
+    pub(crate) gang_timeout: Option<Millis>,
+}
+
 /// A task on a worker.
 #[derive(Clone)]
 pub(crate) struct WorkerTask {
@@ -32,6 +42,10 @@
     faults: &'a Faults,
     machine_fails: bool,
     image_cached: bool,
+    /// Time that the machine takes to fetch an image.
+    fetch_time: Millis,
+    /// Time after which a task that waits for its gang exits, see [`WorkerConditions`].
+    gang_timeout: Option<Millis>,
     /// Time for which the task runs; 0 means until it is stopped.
     run_time: Millis,
 }
@@ -88,9 +102,7 @@
         let now = context.now;
         match self.state {
             TaskState::Fetching if self.has_image(context) => self.finish_fetch(context),
-            TaskState::WaitingForGang if now >= self.state_since + context.faults.gang_wait => {
-                self.enter_state(TaskState::Running, now);
-            }
+            TaskState::WaitingForGang => self.advance_gang_wait(context),
             TaskState::Running
                 if context.run_time > 0 && now >= self.state_since + context.run_time =>
             {
@@ -100,6 +112,20 @@
         }
     }
 
+    /// Ends the wait for the gang, if its time is over. If gangs have a timeout, a gang begins in
+    /// [`SimulatedCluster::begin_complete_gangs`] and not here.
+    fn advance_gang_wait(&mut self, context: &TaskContext) {
+        match context.gang_timeout {
+            Some(timeout) if context.now >= self.state_since + timeout => {
+                self.exit(ExitReason::GangIncomplete);
+            }
+            None if context.now >= self.state_since + context.faults.gang_wait => {
+                self.enter_state(TaskState::Running, context.now);
+            }
+            _ => {}
+        }
+    }
+
     /// Advances a task that is being stopped: it exits, after saving a checkpoint if it was running
     /// and [`Faults::save_checkpoints`] is set.
     fn advance_stop(&mut self, context: &TaskContext) {
@@ -118,7 +144,7 @@
     }
 
     fn has_image(&self, context: &TaskContext) -> bool {
-        context.image_cached || context.now >= self.state_since + IMAGE_FETCH_TIME
+        context.image_cached || context.now >= self.state_since + context.fetch_time
     }
 
     /// Ends the fetching of the image: the task exits if a fault makes it exit, otherwise it waits
@@ -130,7 +156,9 @@
             self.exit(ExitReason::Failed);
         } else if let Some(reason) = faults.forced_exits.get(&job.id) {
             self.exit(*reason);
-        } else if job.kind == JobKind::Gang && faults.gang_wait > 0 {
+        } else if job.kind == JobKind::Gang
+            && (faults.gang_wait > 0 || context.gang_timeout.is_some())
+        {
             self.state = TaskState::WaitingForGang;
         }
     }
@@ -138,8 +166,8 @@
     /// Returns the time of the task's next state transition that needs no command, if there is one.
     fn next_change_at(&self, context: &TaskContext) -> Option<Millis> {
         let duration = match self.state {
-            TaskState::Fetching => IMAGE_FETCH_TIME,
-            TaskState::WaitingForGang => context.faults.gang_wait,
+            TaskState::Fetching => context.fetch_time,
+            TaskState::WaitingForGang => context.gang_timeout.unwrap_or(context.faults.gang_wait),
             TaskState::Checkpointing => context.checkpoint_time(),
             TaskState::Running if context.run_time > 0 => context.run_time,
             _ => return None,
@@ -154,6 +182,7 @@
     jobs: &'a BTreeMap<String, JobSubmission>,
     faults: &'a Faults,
     extra_run_time: &'a BTreeMap<String, Millis>,
+    conditions: &'a WorkerConditions,
 }
 
 impl Worker {
@@ -175,6 +204,8 @@
         completed_tasks: &mut BTreeSet<String>,
     ) {
         let machine_fails = environment.faults.failing_machines.contains(machine);
+        let conditions = environment.conditions;
+        let fetch_time = conditions.fetch_times.get(machine).copied();
         for (id, task) in &mut self.tasks {
             if task.state == TaskState::Exited {
                 continue;
@@ -187,6 +218,8 @@
                 faults: environment.faults,
                 machine_fails,
                 image_cached: self.cached_images.contains(&job.image),
+                fetch_time: fetch_time.unwrap_or(IMAGE_FETCH_TIME),
+                gang_timeout: conditions.gang_timeout,
                 run_time: secs_to_millis(job.expected_duration_s) + extra,
             };
             let previous_state = task.state;
@@ -221,6 +254,7 @@
             jobs: &self.jobs,
             faults: &self.faults,
             extra_run_time: &self.extra_run_time,
+            conditions: &self.worker_conditions,
         };
         for (machine, worker) in &mut self.workers {
             let needs_update = now >= worker.next_change_at || any_overdue;
@@ -238,5 +272,40 @@
                 }
             }
         }
+        if self.worker_conditions.gang_timeout.is_some() {
+            self.begin_complete_gangs();
+        }
+    }
+
+    /// Lets the gangs begin of which all tasks wait with the same attempt. Tasks on hung machines
+    /// do not count.
+    fn begin_complete_gangs(&mut self) {
+        let now = self.now;
+        let mut waiting: BTreeMap<(String, u64), u64> = BTreeMap::new();
+        for (machine, worker) in &self.workers {
+            if self.faults.hung_machines.contains(machine) {
+                continue;
+            }
+            for (id, task) in &worker.tasks {
+                if task.state == TaskState::WaitingForGang && !task.stopping {
+                    *waiting
+                        .entry((job_of(id).into(), task.attempt))
+                        .or_default() += 1;
+                }
+            }
+        }
+        waiting.retain(|(job, _), tasks| *tasks == self.jobs[job].tasks);
+        if waiting.is_empty() {
+            return;
+        }
+        for worker in self.workers.values_mut() {
+            for (id, task) in &mut worker.tasks {
+                let gang = (job_of(id).to_owned(), task.attempt);
+                if task.state == TaskState::WaitingForGang && waiting.contains_key(&gang) {
+                    task.enter_state(TaskState::Running, now);
+                    worker.next_change_at = 0;
+                }
+            }
+        }
     }
 }
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -4,6 +4,7 @@
 //! [`UnixTime`].
 
 pub mod dependencies;
+mod gang_start;
 mod job;
 mod job_spec;
 mod machine;
@@ -11,6 +12,7 @@
 mod task_set;
 mod time;
 
+pub use gang_start::{GangStart, GangTiming};
 pub use job::{InheritedUrgency, Job, JobPhase};
 pub use job_spec::JobSpec;
 pub use machine::{FencingToken, HeartbeatSequence, Machine, MachinePhase};
--- a/src/model/placement.rs
+++ b/src/model/placement.rs
@@ -18,6 +18,24 @@
     },
     /// A heartbeat listed the task in this state.
     Reported(TaskState),
+    /// The task of a gang exited because the gang was incomplete. The task keeps its place and is
+    /// started again with the same attempt once the other tasks have their image.
+    AwaitingRestart,
+    /// The same attempt is started again with the responses to the machine's heartbeats, until a
+    /// heartbeat lists the task in another state.
+    Restarting,
+}
+
+impl PlacementStage {
+    /// Reports whether a heartbeat has listed the task, so that the worker has received its start.
+    pub fn is_confirmed(self) -> bool {
+        match self {
+            PlacementStage::Planned | PlacementStage::Starting { .. } => false,
+            PlacementStage::Reported(_)
+            | PlacementStage::AwaitingRestart
+            | PlacementStage::Restarting => true,
+        }
+    }
 }
 
 /// A request to stop a task, resent until the task is no longer on its machine.
@@ -43,11 +61,34 @@
     /// The latest of the times at which the round was planned, the round became durable, a new
     /// leader read the round, and a heartbeat first listed the task.
     pub stage_since: Timestamp,
+    /// When the task entered its current stage, or the state that a heartbeat reported.
+    pub state_since: Timestamp,
+    /// How many times the commands to start the same attempt again were sent.
+    pub restarts: u32,
     /// The pending stop request; `None` if the task is not being stopped.
     pub stop_request: Option<StopRequest>,
 }
 
 impl Placement {
+    /// Creates the placement of a task that enters `stage` at `now`.
+    pub fn new(machine: MachineId, attempt: u64, stage: PlacementStage, now: Timestamp) -> Self {
+        Placement {
+            machine,
+            attempt,
+            stage,
+            stage_since: now,
+            state_since: now,
+            restarts: 0,
+            stop_request: None,
+        }
+    }
+
+    /// Enters a stage at `now`.
+    pub fn enter_stage(&mut self, stage: PlacementStage, now: Timestamp) {
+        self.stage = stage;
+        self.state_since = now;
+    }
+
     /// Requests the task to stop. If there already is a request, the shorter of the two grace
     /// periods applies.
     pub fn request_stop(&mut self, grace_s: u64, now: Timestamp) {
--- a/src/placement/preemption/tests.rs
+++ b/src/placement/preemption/tests.rs
@@ -19,13 +19,8 @@
         Timestamp::from_millis(0),
     );
     for (index, machine) in (0..).zip(machines) {
-        let placement = Placement {
-            machine: (*machine).into(),
-            attempt: 1,
-            stage: PlacementStage::Reported(TaskState::Running),
-            stage_since: Timestamp::default(),
-            stop_request: None,
-        };
+        let running = PlacementStage::Reported(TaskState::Running);
+        let placement = Placement::new((*machine).into(), 1, running, Timestamp::default());
         job.placements.insert(index, placement);
     }
     job
--- a/src/settings/timing.rs
+++ b/src/settings/timing.rs
@@ -2,6 +2,7 @@
 
 use super::Workers;
 use crate::constants;
+use crate::model::GangTiming;
 use std::time::Duration;
 
 /// Durations that are derived from the settings, in whole milliseconds.
@@ -17,6 +18,8 @@
     pub machine_timeout: Duration,
     /// Time between two heartbeats of a worker.
     pub heartbeat_interval: Duration,
+    /// Times that decide when the exited tasks of a gang are started again.
+    pub gang: GangTiming,
     /// Time after a worker's heartbeat within which its next heartbeat arrives, if the worker
     /// received the response. Heartbeats may be late by a quarter of the interval, and a response
     /// may take as long as a worker waits for it.
@@ -38,13 +41,18 @@
         let margin = constants::SAFETY_MARGIN.as_millis() as u64;
         let grace = slack - margin.min(slack / 4);
         let interval = whole_millis(workers.report_s);
+        let heartbeat_deadline =
+            Duration::from_millis(interval * 5 / 4) + constants::WORKER_RESPONSE_TIMEOUT;
         Timing {
+            gang: GangTiming {
+                wait: Duration::from_millis(whole_millis(workers.gang_wait_s)),
+                restart: heartbeat_deadline,
+            },
             worker_lease: Duration::from_millis(lease),
             leader_grace: Duration::from_millis(grace - drift(grace)),
             machine_timeout: Duration::from_millis(lease),
             heartbeat_interval: Duration::from_millis(interval),
-            heartbeat_deadline: Duration::from_millis(interval * 5 / 4)
-                + constants::WORKER_RESPONSE_TIMEOUT,
+            heartbeat_deadline,
         }
     }
 }
