Know the image of a machine whose gang task waits for the others

Cause: a machine was recorded as having an image only when a task ran there. A gang that lost a task before it began was therefore placed anew as if no machine had its image, and could fetch it a second time elsewhere.

Change: a task that waits for its gang has its image, so it is recorded then.

--- a/src/engine/heartbeats/reconciliation.rs
+++ b/src/engine/heartbeats/reconciliation.rs
@@ -100,7 +100,10 @@
                 tracing::debug!(task = %id, %machine, "task runs");
                 self.record_image(machine, &id.job);
             }
-            TaskState::WaitingForGang => self.restart_gang_if_ready(&id.job),
+            TaskState::WaitingForGang => {
+                self.record_image(machine, &id.job);
+                self.restart_gang_if_ready(&id.job);
+            }
             TaskState::Fetching | TaskState::Checkpointing | TaskState::Exited => {}
         }
         true
--- a/src/engine/machines/snapshot.rs
+++ b/src/engine/machines/snapshot.rs
@@ -46,7 +46,7 @@
                 capacity: machine_type.capacity,
                 available: machine_type.capacity - load.used,
                 free_task_slots: constants::MAX_TASKS_PER_MACHINE.saturating_sub(tasks),
-                used_by_services: load.long_running,
+                used_by_services: load.used_by_services,
                 images: images.map(|(name, _)| name.clone()).collect(),
                 fetching: remaining_fetches(load.fetches, machine_type.fetch_gb_per_s, at),
                 boot_gb: machine_type.boot_gb(),
@@ -66,7 +66,7 @@
     /// Resources requested by all tasks.
     used: Resources,
     /// Resources requested by replicas of services, which run until they are stopped.
-    long_running: Resources,
+    used_by_services: Resources,
     /// Whether a task that is placed on the machine has not been reported by a heartbeat yet.
     has_unconfirmed_start: bool,
     /// Images that are being fetched.
@@ -98,7 +98,7 @@
     fn add(&mut self, machine: &Machine, job: &Job, placement: Option<&Placement>, at: Timestamp) {
         self.used += job.spec.request;
         if job.spec.kind == JobKind::Service {
-            self.long_running += job.spec.request;
+            self.used_by_services += job.spec.request;
         }
         let reported = placement.filter(|placement| placement.stage.is_confirmed());
         self.has_unconfirmed_start |= placement.is_some() && reported.is_none();
--- a/src/engine/tests/gang_starts.rs
+++ b/src/engine/tests/gang_starts.rs
@@ -4,6 +4,7 @@
 use super::combined_faults::assert_recovers;
 use super::simulated_cluster::{Millis, SimulatedCluster};
 use super::support::{assert_completes, whole_machine_gang};
+use crate::model::MachineId;
 use crate::wire::user::JobSubmission;
 use crate::wire::worker::ExitReason;
 
@@ -116,6 +117,23 @@
     assert_completes(&mut cluster, "run-1", 180_000);
 }
 
+/// Guards against a gang that fetches its image anew on other machines after it has lost a task,
+/// because the leader believed that only machines on which the gang had run have the image.
+#[test]
+fn machine_of_a_waiting_task_is_known_to_have_the_image() {
+    let mut cluster = cluster_with_fetching_gang(&[FAST_FETCH, SLOW_FETCH]);
+    let machine = MachineId::from(machine_of(&cluster, 0).as_str());
+    let image = cluster.jobs["run-1"].image.clone();
+    let has_image = |cluster: &SimulatedCluster| {
+        let engine = cluster.engine(cluster.leader().unwrap()).unwrap();
+        let leader = engine.leadership.leader().unwrap();
+        leader.machines.get(&machine).unwrap().has_image(&image)
+    };
+    assert!(!has_image(&cluster));
+    cluster.run(FAST_FETCH + 4_000);
+    assert!(has_image(&cluster));
+}
+
 /// Guards against a gang that waits without end for a fetch that never ends.
 #[test]
 fn gang_is_placed_anew_if_a_fetch_never_ends() {
