Test waiting gangs through partitions and lost heartbeats too

Two more events meet a gang that waits for an image: the zones are partitioned, and no machine can open connections.

--- a/src/engine/tests/gang_starts.rs
+++ b/src/engine/tests/gang_starts.rs
@@ -206,7 +206,7 @@
     cluster.faults.preemption_notices.insert(machine, 30.0);
 }
 
-const EVENTS: [GangEvent; 15] = [
+const EVENTS: [GangEvent; 17] = [
     ("the leader crashes", |cluster| {
         crash_leader(cluster);
     }),
@@ -221,6 +221,12 @@
     ("direct commands are lost", |cluster| {
         cluster.faults.lose_direct_commands = true;
     }),
+    ("the zones are partitioned", |cluster| {
+        cluster.faults.zones_partitioned = true;
+    }),
+    ("no machine can open connections", |cluster| {
+        cluster.faults.machines_without_heartbeats = cluster.busy_machines();
+    }),
     ("heartbeats arrive twice", |cluster| {
         cluster.faults.duplicate_heartbeat_every = 2;
     }),
