End quarantines that are based on jobs that fail on every machine

Cause: a quarantine by failures of two jobs ended only with the return of the machine, which a replica prevents. That the jobs fail on every machine was not used.

Change: a quarantine is suspected or proven (the job completed elsewhere). When a job is cancelled that has failed on two machines or more and has not run for 30 s, its failures are no longer held against the machines, and a suspicion without another ground ends.

Why this works: a job that fails wherever it is started says nothing about the machines; one that failed on a single machine, runs, or completed elsewhere changes nothing, so a faulty machine stays closed.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -371,6 +371,11 @@
 /// Number of different jobs with failed tasks on a machine, without a completion in between, at
 /// which the machine is quarantined. Failures of a single job may be the job's own fault.
 pub const QUARANTINE_FAILED_JOBS: usize = 2;
+/// Minimum number of machines on which a cancelled job has failed, without a completion in between,
+/// for the job to be taken to be at fault rather than the machines.
+pub const MIN_MACHINES_FAILED_BY_FAULTY_JOB: usize = 2;
+/// Time for which a task has to run for its job to be taken not to fail on every machine.
+pub const SOUND_JOB_RUN_TIME: Duration = Duration::from_millis(30_000);
 /// Initial backoff of a job after the failure of a task; the backoff doubles with each consecutive
 /// failure. A job that was submitted with a mistake fails on every machine and must not use up the
 /// fleet.
--- a/src/engine/autoscaling/return_reason.rs
+++ b/src/engine/autoscaling/return_reason.rs
@@ -76,7 +76,7 @@
             // waiting for the worker's lease to expire.
             MachinePhase::Up if self.is_preempted(machine) => Some(ReturnReason::Preempted),
             MachinePhase::Up if silent => Some(ReturnReason::Silent),
-            MachinePhase::Up if machine.quarantined && machine.is_empty() => {
+            MachinePhase::Up if machine.quarantine.is_some() && machine.is_empty() => {
                 Some(ReturnReason::Quarantined)
             }
             MachinePhase::Up if machine.draining && machine.is_empty() => {
--- a/src/engine/live_records.rs
+++ b/src/engine/live_records.rs
@@ -193,6 +193,7 @@
         }
         job.phase = JobPhase::Cancelled;
         job.stop_all_tasks(0, self.context.now());
+        self.withdraw_failures_of_faulty_job(id);
         self.dependencies.request_evaluation();
         self.send_stop_commands(id);
         self.finish_job_if_over(id);
--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -13,6 +13,7 @@
 mod machines;
 mod message_reordering;
 mod partitions;
+mod quarantine;
 mod replay;
 mod simulated_cluster;
 mod slow_links;
--- a/src/engine/tests/simulated_cluster/workers/mod.rs
+++ b/src/engine/tests/simulated_cluster/workers/mod.rs
@@ -30,7 +30,7 @@
 
 /// A worker and the state of its machine.
 pub(crate) struct Worker {
-    pub(super) zone: String,
+    pub(crate) zone: String,
     /// The node to which the worker sends its heartbeats.
     pub(crate) node: usize,
     /// The time at which the machine has booted, which may be in the future.
--- a/src/model/job.rs
+++ b/src/model/job.rs
@@ -7,6 +7,7 @@
 use crate::wire::user::{JobKind, Priority};
 use crate::wire::worker::TaskState;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 /// Phase of a job's life cycle.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -224,6 +225,14 @@
         self.tasks_reported_as(TaskState::Fetching)
     }
 
+    /// Reports whether a task has been running for that time.
+    pub fn has_run_for(&self, time: Duration, now: Timestamp) -> bool {
+        let running = PlacementStage::Reported(TaskState::Running);
+        let mut placements = self.placements.values();
+        placements
+            .any(|placement| placement.stage == running && now >= placement.state_since + time)
+    }
+
     fn tasks_reported_as(&self, state: TaskState) -> u64 {
         let stages = self.placements.values().map(|placement| placement.stage);
         let reported = stages.filter(|stage| *stage == PlacementStage::Reported(state));
--- a/src/model/machine.rs
+++ b/src/model/machine.rs
@@ -58,6 +58,15 @@
     Returning,
 }
 
+/// Why a machine is quarantined.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Quarantine {
+    /// Tasks of several jobs have failed on the machine. The jobs may be at fault.
+    Suspected,
+    /// A job has failed on the machine and then completed a task on another one.
+    Proven,
+}
+
 /// A machine of the leader's fleet.
 #[derive(Debug, Clone)]
 pub struct Machine {
@@ -107,11 +116,12 @@
     pub orphaned_tasks: BTreeSet<(TaskId, u64)>,
     /// Images cached on the machine with their sizes in GB, the most recently used last.
     pub images: VecDeque<(Arc<str>, f64)>,
-    /// Jobs whose tasks have failed on the machine since a task last completed there.
+    /// Jobs whose tasks have failed on the machine since a task last completed there, without those
+    /// that have turned out to fail on every machine.
     pub failed_jobs: BTreeSet<JobId>,
-    /// Whether the machine is quarantined because tasks fail on it. A quarantined machine accepts
-    /// no tasks and is returned when it is empty.
-    pub quarantined: bool,
+    /// Why the machine is quarantined, if it is. A quarantined machine accepts no tasks and is
+    /// returned when it is empty.
+    pub quarantine: Option<Quarantine>,
     /// Whether the machine is being drained by moving its replicas to other machines. A draining
     /// machine accepts no tasks and is returned when it is empty.
     pub draining: bool,
@@ -150,7 +160,7 @@
             orphaned_tasks: BTreeSet::new(),
             images: VecDeque::new(),
             failed_jobs: BTreeSet::new(),
-            quarantined: false,
+            quarantine: None,
             draining: false,
             idle_since: now,
         }
@@ -216,7 +226,7 @@
     pub fn accepts_tasks(&self) -> bool {
         self.phase == MachinePhase::Up
             && self.responsive
-            && !self.quarantined
+            && self.quarantine.is_none()
             && !self.draining
             && self.preemption_at.is_none()
             && self.orphaned_tasks.is_empty()
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -15,7 +15,7 @@
 pub use gang_start::{GangStart, GangTiming};
 pub use job::{InheritedUrgency, Job, JobPhase};
 pub use job_spec::JobSpec;
-pub use machine::{FencingToken, HeartbeatSequence, Machine, MachinePhase};
+pub use machine::{FencingToken, HeartbeatSequence, Machine, MachinePhase, Quarantine};
 pub use placement::{Placement, PlacementStage, StopRequest};
 pub use task_set::TaskSet;
 pub use time::{Timestamp, UnixTime, whole_millis};
