Reserve machines for a starving gang in zones where it can start

Cause: the reservation for a starving gang that has to be spread over zones took the machines with the least to free, also more in one zone than the gang may use, so the gang could not start on them.

Change: the reservation takes no more tasks in a zone than the job allows, by the same zone_headroom as placement.

--- a/src/placement/reservation.rs
+++ b/src/placement/reservation.rs
@@ -3,6 +3,7 @@
 //! Without a reservation, smaller jobs take each machine as it becomes free, and a gang that needs
 //! many whole machines never starts.
 
+use super::constraints::{TasksByZone, add_tasks, zone_headroom};
 use super::gang::zones;
 use super::snapshot::MachineSnapshot;
 use crate::constants::MAX_TASKS_PER_MACHINE;
@@ -62,6 +63,7 @@
         .collect();
     machines.sort_by_key(|machine| (machine.permille_to_free, machine.index));
     let mut unassigned_tasks = spec.tasks;
+    let mut assigned_by_zone = TasksByZone::new();
     let mut reservation = Reservation {
         permille_to_free: 0,
         machine_indices: Vec::new(),
@@ -70,7 +72,14 @@
         if unassigned_tasks == 0 {
             break;
         }
-        unassigned_tasks = unassigned_tasks.saturating_sub(machine.tasks);
+        let zone = &snapshots[machine.index].zone;
+        let headroom = zone_headroom(spec, &assigned_by_zone, zone);
+        let tasks = machine.tasks.min(headroom).min(unassigned_tasks);
+        if tasks == 0 {
+            continue;
+        }
+        add_tasks(&mut assigned_by_zone, zone, tasks);
+        unassigned_tasks -= tasks;
         reservation.permille_to_free += machine.permille_to_free;
         reservation.machine_indices.push(machine.index);
     }
--- a/src/placement/reservation/tests.rs
+++ b/src/placement/reservation/tests.rs
@@ -61,3 +61,17 @@
     let gang = gang_of_whole_machines(2, false);
     assert!(reserved(&gang, &mut machines).is_empty());
 }
+
+/// Guards against a reservation of machines on which a gang that must be spread over zones can't
+/// start.
+#[test]
+fn spread_gang_reserves_machines_in_several_zones() {
+    let mut machines = [
+        machine("a", "east", 7),
+        machine("b", "east", 7),
+        machine("c", "west", 1),
+    ];
+    let mut gang = gang_of_whole_machines(2, false);
+    gang.spread_zones = true;
+    assert_eq!(reserved(&gang, &mut machines), ["a", "c"]);
+}
