Stop tasks for a gang in one zone in whichever zone it fits

Is it required: 'Each team is guaranteed its cpus and gpus: while all of its unfinished jobs together fit into them, those jobs need not wait for other teams.' Yes.

Cause: the search for victims took the cheapest machine for one task after the other, and the first choice fixed the zone. If that zone was too small there were no victims, every 3 s anew.

Change: for a job that has to be in one zone the search is made in each zone, and the cheapest whole answer is taken. A machine belongs to one zone, so each is still looked at once.

--- a/src/engine/autoscaling/preemption.rs
+++ b/src/engine/autoscaling/preemption.rs
@@ -12,6 +12,15 @@
     victims: Vec<TaskId>,
 }
 
+impl Preemption {
+    fn new(candidate: &Candidate<'_>, victims: Vec<TaskId>) -> Self {
+        Preemption {
+            job: candidate.id.clone(),
+            victims,
+        }
+    }
+}
+
 /// The result of one search for victims over the waiting jobs.
 #[derive(Default)]
 pub(super) struct PreemptionPlan {
@@ -57,14 +66,14 @@
             }
             let accepting = accepting
                 .get_or_insert_with(|| machines.with_available(no_minimum, Machine::accepts_tasks));
-            let job = candidate.id.clone();
             let tasks = tasks_to_preempt_for(candidate, waiting.tasks);
-            let victims = preemption::choose_victims(candidate, tasks, accepting, &preemptible);
+            let selection = preemption::choose_victims(candidate, tasks, accepting, &preemptible);
+            let victims = selection.unwrap_or_default().victims;
             if !victims.is_empty() {
-                plan.preemption = Some(Preemption { job, victims });
+                plan.preemption = Some(Preemption::new(candidate, victims));
                 return plan;
             }
-            plan.without_victims.push(job);
+            plan.without_victims.push(candidate.id.clone());
             if plan.without_victims.len() >= constants::MAX_PREEMPTION_SEARCHES {
                 break;
             }
--- a/src/placement/preemption.rs
+++ b/src/placement/preemption.rs
@@ -12,6 +12,7 @@
 use crate::wire::user::Priority;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// A task that may be stopped for another job.
 #[derive(Debug, Clone)]
@@ -94,29 +95,65 @@
     placement.stop_request.is_none() && now >= placement.stage_since + MIN_RUN_BEFORE_PREEMPTION
 }
 
-/// Chooses running tasks to stop so that `tasks` tasks of the candidate fit. Returns no victims if
-/// that is impossible. For each of the candidate's tasks, the machine with the lowest cost of
-/// preemption is chosen.
+/// The tasks to stop for a job.
+#[derive(Debug, Default)]
+pub struct VictimSelection {
+    /// The tasks to stop. Empty if the job's tasks fit without.
+    pub victims: Vec<TaskId>,
+    /// Highest cost of a victim, or `None` if there are no victims.
+    max_cost: Option<PreemptionCost>,
+}
+
+impl VictimSelection {
+    /// Returns the cost of the selection: the highest cost of a victim, and the number of victims.
+    fn cost(&self) -> (Option<PreemptionCost>, usize) {
+        (self.max_cost, self.victims.len())
+    }
+}
+
+/// Chooses running tasks to stop so that `tasks` tasks of the candidate fit, or returns `None` if
+/// that is impossible. If the candidate requires a single zone, each zone is tried and the one with
+/// the lowest cost is chosen.
 pub fn choose_victims(
     candidate: &Candidate<'_>,
     tasks: u32,
     snapshots: &[MachineSnapshot],
     running: &[PreemptibleTask<'_>],
-) -> Vec<TaskId> {
+) -> Option<VictimSelection> {
+    let machines = preemptible_machines(candidate, snapshots, running);
+    if !candidate.job.spec.single_zone {
+        return choose_victims_on(candidate, tasks, machines);
+    }
+    let mut machines_by_zone: BTreeMap<&Arc<str>, Vec<PreemptibleMachine<'_>>> = BTreeMap::new();
+    for machine in machines {
+        let zone = &machine.snapshot.zone;
+        machines_by_zone.entry(zone).or_default().push(machine);
+    }
+    let zones = machines_by_zone.into_values();
+    zones
+        .filter_map(|machines| choose_victims_on(candidate, tasks, machines))
+        .min_by_key(VictimSelection::cost)
+}
+
+/// Chooses victims on these machines. For each of the candidate's tasks, the machine with the
+/// lowest cost of preemption is chosen.
+fn choose_victims_on(
+    candidate: &Candidate<'_>,
+    tasks: u32,
+    mut machines: Vec<PreemptibleMachine<'_>>,
+) -> Option<VictimSelection> {
     let spec = &candidate.job.spec;
     let mut placed = candidate.placed_by_zone.clone();
-    let mut machines = preemptible_machines(candidate, snapshots, running);
-    let mut victims = Vec::new();
+    let mut selection = VictimSelection::default();
     for _ in 0..tasks {
-        let Some(choice) = cheapest_preemption(spec, &placed, &machines) else {
-            return Vec::new();
-        };
+        let choice = cheapest_preemption(spec, &placed, &machines)?;
         let machine = &mut machines[choice.machine_index];
-        machine.preempt_cheapest(choice.victims, &mut victims);
+        machine.preempt_cheapest(choice.victims, &mut selection.victims);
         machine.available = machine.available - spec.request;
         add_tasks(&mut placed, &machine.snapshot.zone, 1);
+        selection.max_cost = selection.max_cost.max(choice.max_cost);
     }
-    victims
+    Some(selection)
 }
 
 /// A machine and the tasks on it that can be preempted for a candidate.
--- a/src/placement/preemption/tests.rs
+++ b/src/placement/preemption/tests.rs
@@ -63,6 +63,8 @@
         ..candidate(&id, waiting)
     };
     choose_victims(&candidate, 1, &snapshots, &preemptible)
+        .unwrap_or_default()
+        .victims
         .iter()
         .map(ToString::to_string)
         .collect()
@@ -108,3 +110,32 @@
     );
     assert!(victims(&waiting, false, &exceeding_guarantee).is_empty());
 }
+
+/// Guards against a gang in one zone that gets no room because the cheapest victim is in a zone
+/// that is too small for it.
+#[test]
+fn single_zone_gang_gets_the_cheapest_zone_in_which_it_fits() {
+    let mut waiting = job("x", Priority::High, &[]);
+    waiting.spec.single_zone = true;
+    let cheap = job("x", Priority::Low, &["a"]);
+    let costly = job("x", Priority::Normal, &["b", "c"]);
+    let mut snapshots =
+        [("a", "east"), ("b", "west"), ("c", "west")].map(|(id, zone)| snapshot(id, zone, 4.0));
+    for snapshot in &mut snapshots {
+        snapshot.available = Resources::default();
+    }
+    let (first, second) = (JobId::from("run-8"), JobId::from("run-9"));
+    let jobs = [(&first, &cheap), (&second, &costly)];
+    let now = Timestamp::default() + MIN_RUN_BEFORE_PREEMPTION;
+    let running = preemptible_tasks(jobs.into_iter(), |_| false, now);
+    let id = JobId::from("run-0");
+    let victims = |tasks| {
+        let candidate = candidate(&id, &waiting);
+        let selection = choose_victims(&candidate, tasks, &snapshots, &running)?;
+        let victims = selection.victims.iter().map(ToString::to_string);
+        Some(victims.collect::<Vec<_>>())
+    };
+    assert_eq!(victims(1).unwrap(), ["run-8/0"]);
+    assert_eq!(victims(2).unwrap(), ["run-9/0", "run-9/1"]);
+    assert_eq!(victims(3), None);
+}
