Keep the machines that are freed for a gang

Cause: tasks were stopped for a gang on several machines, and the first machine that became free was given back to the stopped tasks, since nothing was reserved for the gang before it starved; tasks that were stopped for another team's guarantee may even come first by priority. The gang got nothing, and the tasks had been stopped in vain.

Change: the machines that the search for victims chose are kept for the gang for the 15 s in which no further victims are searched for. It is served before all others, and while it does not fit, nothing else starts there.

Result: tasks_are_stopped_for_a_gang_in_the_zone_where_it_fits fails without the reservation and passes with it, and stopped_tasks_run_again_if_the_gang_is_cancelled passes.

--- a/src/engine/autoscaling/mod.rs
+++ b/src/engine/autoscaling/mod.rs
@@ -26,6 +26,7 @@
 use crate::model::{JobId, Machine, MachineId, MachinePhase, Timestamp};
 use crate::placement::{Candidate, UnplacedTasks};
 use machine_list::MachineListing;
+use preemption::PreemptedMachines;
 use refusals::RefusedOffers;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -53,6 +54,8 @@
     /// Jobs for which tasks were preempted recently or no victims were found, each with the time
     /// until which no victims are searched for.
     preemption_pauses: BTreeMap<JobId, Timestamp>,
+    /// Machines on which tasks were stopped for a gang, by the gang's job.
+    preempted_machines: BTreeMap<JobId, PreemptedMachines>,
     /// Machines that are not returned when idle, because waiting or expected jobs are planned on
     /// them.
     reserved: BTreeSet<MachineId>,
@@ -75,6 +78,7 @@
             next_housekeeping_at: now,
             next_consolidation_at: now,
             preemption_pauses: BTreeMap::new(),
+            preempted_machines: BTreeMap::new(),
             reserved: BTreeSet::new(),
             cut_off_zones: BTreeMap::new(),
         }
--- a/src/engine/autoscaling/preemption.rs
+++ b/src/engine/autoscaling/preemption.rs
@@ -3,24 +3,37 @@
 use crate::autoscaler;
 use crate::constants;
 use crate::engine::Engine;
-use crate::model::{JobId, Machine, Resources, TaskId};
-use crate::placement::{Candidate, MachineSnapshot, preemption};
+use crate::model::{JobId, Machine, MachineId, Resources, Timestamp};
+use crate::placement::preemption::{self, VictimSelection};
+use crate::placement::{Candidate, MachineSnapshot};
+use std::collections::BTreeSet;
 
 /// The tasks to stop for one job.
 pub(super) struct Preemption {
     job: JobId,
-    victims: Vec<TaskId>,
+    /// Whether the job is a gang, which starts only once all victims have stopped.
+    is_gang: bool,
+    selection: VictimSelection,
 }
 
 impl Preemption {
-    fn new(candidate: &Candidate<'_>, victims: Vec<TaskId>) -> Self {
+    fn new(candidate: &Candidate<'_>, selection: VictimSelection) -> Self {
         Preemption {
             job: candidate.id.clone(),
-            victims,
+            is_gang: candidate.job.is_gang(),
+            selection,
         }
     }
 }
 
+/// Machines on which tasks were stopped for a gang.
+#[derive(Debug)]
+pub(super) struct PreemptedMachines {
+    machines: BTreeSet<MachineId>,
+    /// Time until which the machines are kept for the gang.
+    until: Timestamp,
+}
+
 /// The result of one search for victims over the waiting jobs.
 #[derive(Default)]
 pub(super) struct PreemptionPlan {
@@ -68,9 +81,8 @@
                 .get_or_insert_with(|| machines.with_available(no_minimum, Machine::accepts_tasks));
             let tasks = tasks_to_preempt_for(candidate, waiting.tasks);
             let selection = preemption::choose_victims(candidate, tasks, accepting, &preemptible);
-            let victims = selection.unwrap_or_default().victims;
-            if !victims.is_empty() {
-                plan.preemption = Some(Preemption::new(candidate, victims));
+            if let Some(selection) = selection.filter(|chosen| !chosen.victims.is_empty()) {
+                plan.preemption = Some(Preemption::new(candidate, selection));
                 return plan;
             }
             plan.without_victims.push(candidate.id.clone());
@@ -109,16 +121,38 @@
     /// Stops the victims and pauses preemption for the job, so that its tasks have time to start.
     pub(super) fn preempt(&mut self, preemption: Preemption) {
         let now = self.context.now();
-        let Preemption { job, victims } = preemption;
-        tracing::info!(%job, victims = victims.len(), "preempting tasks");
+        let Preemption {
+            job,
+            is_gang,
+            selection,
+        } = preemption;
+        let VictimSelection {
+            victims, machines, ..
+        } = selection;
+        let (victim_count, machine_count) = (victims.len(), machines.len());
+        tracing::info!(%job, victims = victim_count, machines = machine_count, "preempting tasks");
         if let Some(leader) = self.leadership.leader_mut() {
-            let pauses = &mut leader.autoscaling.preemption_pauses;
-            pauses.insert(job, now + constants::PREEMPTION_COOLDOWN);
+            let until = now + constants::PREEMPTION_COOLDOWN;
+            let autoscaling = &mut leader.autoscaling;
+            autoscaling.preemption_pauses.insert(job.clone(), until);
+            let preempted = &mut autoscaling.preempted_machines;
+            preempted.retain(|_, preempted| now < preempted.until);
+            if is_gang {
+                preempted.insert(job, PreemptedMachines { machines, until });
+            }
         }
         for task in victims {
             self.stop_task(&task);
         }
     }
+
+    /// Returns the machines on which tasks were stopped for the gang within
+    /// [`constants::PREEMPTION_COOLDOWN`].
+    pub(in crate::engine) fn preempted_machines(&self, id: &JobId) -> Option<&BTreeSet<MachineId>> {
+        let leader = self.leadership.leader()?;
+        let preempted = leader.autoscaling.preempted_machines.get(id)?;
+        (self.context.now() < preempted.until).then_some(&preempted.machines)
+    }
 }
 
 /// Returns for how many of a job's unplaced tasks victims are chosen in one pass: for all tasks of
--- a/src/engine/scheduling.rs
+++ b/src/engine/scheduling.rs
@@ -121,6 +121,7 @@
                     within_guarantee: within_guarantee.contains(id),
                     starving: job.is_starving(self.context.unix_time()),
                     placed_by_zone: self.placed_tasks_by_zone(job)?,
+                    preempted_machines: self.preempted_machines(id),
                 })
             })
             .collect();
--- a/src/engine/tests/mod.rs
+++ b/src/engine/tests/mod.rs
@@ -13,6 +13,7 @@
 mod machines;
 mod message_reordering;
 mod partitions;
+mod preemption;
 mod quarantine;
 mod replay;
 mod simulated_cluster;
--- a/src/placement/candidate.rs
+++ b/src/placement/candidate.rs
@@ -1,9 +1,10 @@
 //! Candidates, which are jobs that may start tasks, and the order in which they are served.
 
 use super::constraints::TasksByZone;
-use crate::model::{Job, JobId, Resources, UnixTime};
+use crate::model::{Job, JobId, MachineId, Resources, UnixTime};
 use crate::wire::user::{JobKind, Priority};
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 
 /// A job that may start tasks.
 #[derive(Debug)]
@@ -20,6 +21,9 @@
     pub starving: bool,
     /// Number of the job's placed tasks in each zone.
     pub placed_by_zone: TasksByZone,
+    /// Machines on which tasks are being stopped for the job, if it is a gang. The job is served
+    /// before all others, and no others start tasks there.
+    pub preempted_machines: Option<&'a BTreeSet<MachineId>>,
 }
 
 impl Candidate<'_> {
@@ -29,7 +33,9 @@
     }
 
     fn service_rank(&self) -> ServiceRank {
-        if self.starving {
+        if self.preempted_machines.is_some() {
+            ServiceRank::Preempting
+        } else if self.starving {
             ServiceRank::Starving {
                 ready_at: Reverse(self.job.ready_at),
             }
@@ -58,6 +64,9 @@
     /// Ranking these jobs by priority would let a lasting backlog of urgent jobs delay the others
     /// without bound.
     Starving { ready_at: Reverse<UnixTime> },
+    /// Ranked above all others, for the few seconds in which the stopped tasks leave. Otherwise the
+    /// tasks that were stopped for a gang could take back each machine as it becomes free.
+    Preempting,
 }
 
 /// Sorts jobs into the order in which they are served. Ties are broken by id.
--- a/src/placement/planner.rs
+++ b/src/placement/planner.rs
@@ -4,7 +4,7 @@
 use super::gang::assign_gang;
 use super::packing::{Assignment, assign_tasks, assigned_tasks};
 use super::quota::QuotaUsage;
-use super::reservation::reserve_for_gang;
+use super::reservation::{reserve, reserve_for_gang};
 use super::round::{RoundLimits, RoundPlan, TaskStart, UnplacedTasks};
 use super::snapshot::MachineSnapshot;
 use crate::constants::MAX_UNPLACED_TASKS;
@@ -87,8 +87,8 @@
         let starts_before = self.plan.starts.len();
         if candidate.job.spec.kind == JobKind::Gang {
             let outcome = self.plan_gang(candidate);
-            if outcome == GangOutcome::NoRoom && candidate.can_reserve_machines() {
-                reserve_for_gang(&candidate.job.spec, self.snapshots);
+            if outcome == GangOutcome::NoRoom {
+                self.reserve_machines_for(candidate);
             }
         } else {
             self.plan_tasks(candidate);
@@ -96,6 +96,16 @@
         self.jobs_with_starts += usize::from(self.plan.starts.len() > starts_before);
     }
 
+    /// Reserves machines for a gang that does not fit, if tasks are being stopped for it or if it
+    /// is starving.
+    fn reserve_machines_for(&mut self, candidate: &Candidate<'_>) {
+        if let Some(machines) = candidate.preempted_machines {
+            reserve(machines, self.snapshots);
+        } else if candidate.can_reserve_machines() {
+            reserve_for_gang(&candidate.job.spec, self.snapshots);
+        }
+    }
+
     /// Returns how many more starts the round may hold. A full round does not end the pass, because
     /// scaling out requires the number of tasks for which machines have no room.
     fn remaining_starts(&self) -> usize {
--- a/src/placement/preemption.rs
+++ b/src/placement/preemption.rs
@@ -11,7 +11,7 @@
 use crate::model::{Job, JobId, JobSpec, MachineId, Placement, Resources, TaskId, Timestamp};
 use crate::wire::user::Priority;
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// A task that may be stopped for another job.
@@ -100,6 +100,8 @@
 pub struct VictimSelection {
     /// The tasks to stop. Empty if the job's tasks fit without.
     pub victims: Vec<TaskId>,
+    /// The machines on which the job's tasks fit once the victims have stopped.
+    pub machines: BTreeSet<MachineId>,
     /// Highest cost of a victim, or `None` if there are no victims.
     max_cost: Option<PreemptionCost>,
 }
@@ -151,6 +153,7 @@
         machine.preempt_cheapest(choice.victims, &mut selection.victims);
         machine.available = machine.available - spec.request;
         add_tasks(&mut placed, &machine.snapshot.zone, 1);
+        selection.machines.insert(machine.snapshot.id.clone());
         selection.max_cost = selection.max_cost.max(choice.max_cost);
     }
     Some(selection)
--- a/src/placement/reservation.rs
+++ b/src/placement/reservation.rs
@@ -7,7 +7,8 @@
 use super::gang::zones;
 use super::snapshot::MachineSnapshot;
 use crate::constants::MAX_TASKS_PER_MACHINE;
-use crate::model::{JobSpec, Resources};
+use crate::model::{JobSpec, MachineId, Resources};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// Machines on which a whole gang fits once their current batch tasks have ended.
@@ -48,6 +49,15 @@
     }
 }
 
+/// Reserves these machines: jobs that are served later start no tasks there in this round.
+pub(super) fn reserve(machines: &BTreeSet<MachineId>, snapshots: &mut [MachineSnapshot]) {
+    for snapshot in snapshots {
+        if machines.contains(&snapshot.id) {
+            snapshot.available = Resources::default();
+        }
+    }
+}
+
 /// Returns machines that together can hold the gang, choosing those first on which the least has to
 /// be freed. Returns `None` if all machines together cannot hold the gang.
 fn find_reservation(
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -33,6 +33,7 @@
         within_guarantee: true,
         starving: false,
         placed_by_zone: TasksByZone::new(),
+        preempted_machines: None,
     }
 }
 
