Compare times that a gang's task has waited, not points in time

Cause: the limit for a fetch is added to a point in time; for an image that takes longer than a clock can represent the sum overflows. In a release build it would wrap, so that the fetch counts as stalled at once.

Change: the time that has passed is compared with the limit, also for the wait for the gang.

--- a/src/engine/gang_restarts.rs
+++ b/src/engine/gang_restarts.rs
@@ -136,10 +136,11 @@
         let fetching = PlacementStage::Reported(TaskState::Fetching);
         let placements = self.jobs.get(id)?.placements.iter();
         let mut stalled = placements.filter(|(_, placement)| {
+            let fetching_for = now.saturating_since(placement.state_since);
             placement.stage == fetching
                 && self
                     .fetch_time_limit(&placement.machine)
-                    .is_some_and(|limit| now > placement.state_since + limit)
+                    .is_some_and(|limit| fetching_for > limit)
         });
         let (index, placement) = stalled.next()?;
         Some((*index, placement.machine.clone()))
--- a/src/engine/tests/gang_starts.rs
+++ b/src/engine/tests/gang_starts.rs
@@ -32,11 +32,19 @@
 /// Creates a cluster whose gangs have a timeout, and runs it until all tasks of a gang are fetching.
 /// The machine of the gang's task `n` fetches the image in `fetch_times[n]`.
 fn cluster_with_fetching_gang(fetch_times: &[Millis]) -> SimulatedCluster {
+    cluster_with_fetching_gang_of(IMAGE_GB, fetch_times)
+}
+
+/// Like [`cluster_with_fetching_gang`], with an image of that size.
+fn cluster_with_fetching_gang_of(image_gb: f64, fetch_times: &[Millis]) -> SimulatedCluster {
     let _ = tracing_subscriber::fmt().with_test_writer().try_init();
     let mut cluster = SimulatedCluster::new(3, 4.0 * fetch_times.len() as f64);
     cluster.worker_conditions.gang_timeout = Some(GANG_TIMEOUT);
     cluster.run(2_000);
-    cluster.submit(gang(fetch_times.len() as u64));
+    cluster.submit(JobSubmission {
+        image_gb,
+        ..gang(fetch_times.len() as u64)
+    });
     let all_started = |cluster: &SimulatedCluster| cluster.starts == fetch_times.len() as u64;
     assert!(cluster.run_until(60_000, all_started));
     for (index, time) in fetch_times.iter().enumerate() {
@@ -147,6 +155,17 @@
     assert_completes(&mut cluster, "run-1", 120_000);
 }
 
+/// Guards against an overflow in the time limit of a fetch, by a gang whose image is too large for
+/// any limit that a clock can represent.
+#[test]
+fn gang_with_an_immense_image_waits_for_it() {
+    let mut cluster = cluster_with_fetching_gang_of(1e18, &[FAST_FETCH, 400_000]);
+    let first_attempt = attempts(&cluster);
+    cluster.run(390_000);
+    assert_eq!(attempts(&cluster), first_attempt);
+    assert_completes(&mut cluster, "run-1", 60_000);
+}
+
 /// Guards against a gang that is started again without end on machines on which it can't begin for
 /// another reason than its images.
 #[test]
--- a/src/model/gang_start.rs
+++ b/src/model/gang_start.rs
@@ -66,8 +66,8 @@
         | PlacementStage::Starting { .. }
         | PlacementStage::Reported(TaskState::Fetching) => GangStart::Incomplete,
         PlacementStage::Reported(TaskState::WaitingForGang) => {
-            let wait_ends_at = placement.state_since + timing.wait;
-            match now + timing.restart <= wait_ends_at {
+            let waited = now.saturating_since(placement.state_since);
+            match waited + timing.restart <= timing.wait {
                 true => GangStart::Ready,
                 false => GangStart::Incomplete,
             }
