Test the limit of a fetch with an image that overflows it

With 1e300 GB it does: gang_with_an_immense_image_waits_for_it fails without the change (attempt to add with overflow) and passes with it.

--- a/src/engine/tests/gang_starts.rs
+++ b/src/engine/tests/gang_starts.rs
@@ -159,7 +159,7 @@
 /// any limit that a clock can represent.
 #[test]
 fn gang_with_an_immense_image_waits_for_it() {
-    let mut cluster = cluster_with_fetching_gang_of(1e18, &[FAST_FETCH, 400_000]);
+    let mut cluster = cluster_with_fetching_gang_of(1e300, &[FAST_FETCH, 400_000]);
     let first_attempt = attempts(&cluster);
     cluster.run(390_000);
     assert_eq!(attempts(&cluster), first_attempt);
