Give the check for tasks that are kept for a restart one place

It stood twice in gang_restarts.rs; PlacementStage::is_kept_for_restart serves both. The condition under which a quarantine is news is written plainly, and the comment of state_since says what the field holds. No change of behaviour.

--- a/src/engine/gang_restarts.rs
+++ b/src/engine/gang_restarts.rs
@@ -31,10 +31,7 @@
         }
         // A task that is being restarted and still reported as exited has not received the
         // commands, or has exited again since. They are sent again.
-        if !matches!(
-            placement.stage,
-            PlacementStage::AwaitingRestart | PlacementStage::Restarting
-        ) {
+        if !placement.stage.is_kept_for_restart() {
             tracing::info!(task = %id, %machine, "gang task exited, awaiting the others");
             self.record_reported_stage(machine, id, PlacementStage::AwaitingRestart);
         }
@@ -61,11 +58,7 @@
     pub(super) fn is_kept_for_restart(&self, id: &TaskId, attempt: u64) -> bool {
         let placement = self.jobs.placement(id);
         placement.is_some_and(|placement| {
-            placement.attempt == attempt
-                && matches!(
-                    placement.stage,
-                    PlacementStage::AwaitingRestart | PlacementStage::Restarting
-                )
+            placement.attempt == attempt && placement.stage.is_kept_for_restart()
         })
     }
 
--- a/src/engine/heartbeats/failures.rs
+++ b/src/engine/heartbeats/failures.rs
@@ -104,8 +104,8 @@
 
 /// Quarantines the machine for a reason. A proof replaces a suspicion.
 fn quarantine(machine: &mut Machine, reason: Quarantine) {
-    let is_news = machine.quarantine != Some(reason);
-    if machine.quarantine == Some(Quarantine::Proven) || !is_news {
+    let known = machine.quarantine;
+    if known == Some(Quarantine::Proven) || known == Some(reason) {
         return;
     }
     let failed_jobs = &machine.failed_jobs;
--- a/src/model/placement.rs
+++ b/src/model/placement.rs
@@ -27,6 +27,15 @@
 }
 
 impl PlacementStage {
+    /// Reports whether the task has exited and keeps its place, to be started again with the same
+    /// attempt.
+    pub fn is_kept_for_restart(self) -> bool {
+        matches!(
+            self,
+            PlacementStage::AwaitingRestart | PlacementStage::Restarting
+        )
+    }
+
     /// Reports whether a heartbeat has listed the task, so that the worker has received its start.
     pub fn is_confirmed(self) -> bool {
         match self {
@@ -61,7 +70,8 @@
     /// The latest of the times at which the round was planned, the round became durable, a new
     /// leader read the round, and a heartbeat first listed the task.
     pub stage_since: Timestamp,
-    /// When the task entered its current stage, or the state that a heartbeat reported.
+    /// When a heartbeat first showed the task in its current state, or when the task's restart was
+    /// decided; when the round was planned if no heartbeat has listed the task yet.
     pub state_since: Timestamp,
     /// How many times the commands to start the same attempt again were sent.
     pub restarts: u32,
